--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example configurations and stand-ins for outside systems."""
--- /dev/null
+++ b/src/flamingocleat/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for models whose replicas span several VMs."""
--- /dev/null
+++ b/src/flamingocleat/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that live for one connection."""
--- /dev/null
+++ b/src/flamingocleat/connection/codec.py
@@ -0,0 +1,151 @@
+"""MessagePack codec for grpclib and helpers to define services."""
+
+import collections.abc
+import functools
+import typing
+
+import grpclib
+import grpclib.client
+import grpclib.const
+import grpclib.encoding.base
+import msgspec
+
+from flamingocleat import messages
+from flamingocleat.process import logs
+
+_log = logs.logger("codec")
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+@functools.cache
+def _decoder(message_type: type) -> msgspec.msgpack.Decoder:
+    return msgspec.msgpack.Decoder(message_type)
+
+
+class Codec(grpclib.encoding.base.CodecBase):
+    """Encodes messages as MessagePack."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(
+        self, message: messages.Message, message_type: type[messages.Message]
+    ) -> bytes:
+        """Return the message as bytes."""
+        return _encoder.encode(message)
+
+    def decode(
+        self, data: bytes, message_type: type[messages.Message]
+    ) -> messages.Message:
+        """Return the message; a garbled one fails this call only."""
+        try:
+            return _decoder(message_type).decode(data)
+        except msgspec.MsgspecError as error:
+            logs.warning(
+                _log,
+                "message_rejected",
+                type=message_type.__name__,
+                size=len(data),
+                reason=str(error),
+            )
+            raise grpclib.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT,
+                f"cannot decode {message_type.__name__}: {error}",
+            ) from error
+
+
+class Call(msgspec.Struct, frozen=True):
+    """Name, shape and message types of one gRPC call."""
+
+    path: str
+    request: type[messages.Message]
+    reply: type[messages.Message]
+    cardinality: grpclib.const.Cardinality = (
+        grpclib.const.Cardinality.UNARY_UNARY
+    )
+
+    def handler(
+        self,
+        function: collections.abc.Callable[
+            [typing.Any], collections.abc.Awaitable[None]
+        ],
+    ) -> grpclib.const.Handler:
+        """Return grpclib's handler entry for a server."""
+        return grpclib.const.Handler(
+            function, self.cardinality, self.request, self.reply
+        )
+
+    def open(
+        self,
+        channel: grpclib.client.Channel,
+        timeout_s: float | None = None,
+    ) -> grpclib.client.Stream:
+        """Return a client stream; use it with async with."""
+        return channel.request(
+            self.path,
+            self.cardinality,
+            self.request,
+            self.reply,
+            timeout=timeout_s,
+        )
+
+    async def ask(
+        self,
+        channel: grpclib.client.Channel,
+        request: messages.Message,
+        timeout_s: float,
+    ) -> typing.Any:
+        """Make a unary call and return its reply."""
+        async with self.open(channel, timeout_s) as stream:
+            await stream.send_message(request, end=True)
+            return await stream.recv_message()
+
+
+class Service:
+    """A grpclib service made of calls and their handlers."""
+
+    def __init__(
+        self,
+        handlers: dict[
+            Call,
+            collections.abc.Callable[
+                [typing.Any], collections.abc.Awaitable[None]
+            ],
+        ],
+    ) -> None:
+        self.handlers = handlers
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:  # noqa: PLW3201
+        """Return the mapping that grpclib's server asks for."""
+        return {
+            call.path: call.handler(function)
+            for call, function in self.handlers.items()
+        }
+
+
+_BOTH = grpclib.const.Cardinality.STREAM_STREAM
+_DOWN = grpclib.const.Cardinality.UNARY_STREAM
+
+VOTE = Call("/Consensus/Vote", messages.VoteRequest, messages.VoteReply)
+APPEND = Call("/Consensus/Append", messages.AppendRequest, messages.AppendReply)
+INSTALL_SNAPSHOT = Call(
+    "/Consensus/InstallSnapshot",
+    messages.SnapshotRequest,
+    messages.SnapshotReply,
+)
+AGENT_SESSION = Call(
+    "/Control/AgentSession", messages.AgentStatus, messages.AgentOrder, _BOTH
+)
+CONTROL_WATCH = Call(
+    "/Control/Watch", messages.EntryStatus, messages.ClusterView, _BOTH
+)
+CLAIM = Call("/Control/Claim", messages.ClaimRequest, messages.ClaimReply)
+LOOKUP = Call("/Control/Lookup", messages.LookupRequest, messages.ClaimReply)
+CONCLUDE = Call(
+    "/Control/Conclude", messages.ConcludeRequest, messages.ConcludeReply
+)
+HEARTBEAT = Call("/Member/Heartbeat", messages.Ping, messages.Pong, _BOTH)
+BACKEND_WATCH = Call(
+    "/Backend/Watch", messages.BackendWatch, messages.LoadReport, _DOWN
+)
+VOID = Call("/Backend/Void", messages.VoidRequest, messages.VoidReply)
--- /dev/null
+++ b/src/flamingocleat/process/settings.py
@@ -0,0 +1,79 @@
+"""Settings of each program, read from one YAML file per process."""
+
+import msgspec
+
+from flamingocleat import ids
+from flamingocleat import messages
+
+
+class Settings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Base of all settings."""
+
+    log_level: str = "INFO"
+
+
+class ControlSettings(
+    Settings, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of flamingocleat-control."""
+
+    voter: ids.VoterId
+    data_centre: ids.DataCentreId
+    listen: str
+    """gRPC address, host:port."""
+    operators_listen: str
+    """HTTP address for operators, host:port."""
+    data_folder: str
+    voters: dict[ids.VoterId, str]
+    """gRPC addresses of the voters at the first start, this one included."""
+    snapshot_interval_entries: int = 1000
+    bootstrap_key_sha256: str = ""
+    """Hex SHA-256 of the operator key that may submit the first version."""
+
+
+class EntrySettings(
+    Settings, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of flamingocleat-entry."""
+
+    entry: ids.EntryId
+    data_centre: ids.DataCentreId
+    listen: str
+    """HTTP address for callers, host:port."""
+    control: tuple[str, ...]
+    """gRPC addresses of control."""
+    threads: int = 640
+    """Requests served at once; the size to design for needs some 530."""
+    subset_size: int = 16
+    """Replicas per service that this entry routes to."""
+    drain_notice_s: float = 5.0
+    """Seconds after SIGTERM until the balancer has noticed."""
+    max_header_bytes: int = 16_384
+    retry_budget_ratio: float = 0.1
+
+
+class AgentSettings(
+    Settings, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of flamingocleat-agent."""
+
+    vm: ids.VmId
+    data_centre: ids.DataCentreId
+    fabric_domain: ids.FabricDomainId
+    kind: messages.BackendKind
+    listen: str
+    """gRPC address, host:port."""
+    data_listen: str
+    """HTTP address for entries' calls, host:port."""
+    backend_url: str
+    """Base URL of the engine or plain service."""
+    control: tuple[str, ...]
+    service: ids.ServiceId = ids.ServiceId("")
+    """For a plain service: which one it is."""
+    accelerators: int = 0
+    checks_fencing: bool = False
+    """True if the engine refuses orders with an old fencing number."""
+    threads: int = 64
+    """Calls passed to the backend server at once."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of flamingocleat."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,9 @@
+"""Settings common to all tests."""
+
+import hypothesis
+
+# The same examples in each run, and no verdict that depends on speed.
+hypothesis.settings.register_profile(
+    "pinned", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("pinned")
