--- /dev/null
+++ b/examples/local.py
@@ -0,0 +1,406 @@
+"""Runs a whole deployment on the loopback interface of this machine.
+
+Used by scripts/demo, the system tests and the benchmarks. The programs of
+the system start no other process; only this launcher does.
+"""
+
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import msgspec
+import urllib3
+import yaml
+
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.process import settings
+
+START_LIMIT_S = 60.0
+STOP_LIMIT_S = 60.0
+OPERATOR_KEY = "example-key-operator"
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def free_port() -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def free_address() -> str:
+    """Return a loopback address with a port that was free a moment ago."""
+    return f"127.0.0.1:{free_port()}"
+
+
+class LauncherError(Exception):
+    """A process did not start or stop, or a condition was not reached."""
+
+
+def wait_for(
+    condition: typing.Callable[[], typing.Any],
+    what: str,
+    limit_s: float = START_LIMIT_S,
+) -> typing.Any:
+    """Return the condition's first true value; raise at the limit."""
+    deadline = time.monotonic() + limit_s
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.05)
+    raise LauncherError(f"gave up after {limit_s} s waiting for {what}")
+
+
+class Process:
+    """One process of the deployment, with its log file."""
+
+    def __init__(
+        self, name: str, arguments: list[str], folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.log_path = folder / f"{name}.log"
+        self.child: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process, or start it again after it ended."""
+        with self.log_path.open("ab") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+                cwd=_ROOT,
+                env=_environment(),
+            )
+
+    @property
+    def pid(self) -> int:
+        """Process id; the process must have been started."""
+        assert self.child is not None
+        return self.child.pid
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process has been started and has not ended."""
+        return self.child is not None and self.child.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process is running."""
+        if self.running:
+            assert self.child is not None
+            self.child.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and collect it."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.child is not None:
+            self.child.wait(STOP_LIMIT_S)
+
+    def terminate(self) -> None:
+        """Ask for a graceful stop."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Return the exit status of a process that was asked to stop."""
+        assert self.child is not None
+        try:
+            return self.child.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            raise LauncherError(
+                f"{self.name} has not stopped within {limit_s} s; "
+                f"see {self.log_path}"
+            ) from None
+
+    def log(self) -> str:
+        """Return what the process has logged."""
+        return self.log_path.read_text(encoding="utf-8", errors="replace")
+
+
+def _environment() -> dict[str, str]:
+    paths = [str(_ROOT / "src"), str(_ROOT)]
+    return {**os.environ, "PYTHONPATH": ":".join(paths)}
+
+
+class BackendServer(msgspec.Struct, kw_only=True):
+    """One backend server VM: a stand-in and the agent beside it."""
+
+    settings: settings.AgentSettings
+    stand_in: Process
+    agent: Process
+
+
+class Deployment:
+    """Control, entries and backend servers of one operator."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.http = urllib3.PoolManager(retries=False, timeout=30.0)
+        self.control: dict[str, Process] = {}
+        self.control_settings: dict[str, settings.ControlSettings] = {}
+        self.entries: dict[str, Process] = {}
+        self.entry_settings: dict[str, settings.EntrySettings] = {}
+        self.backend_servers: dict[str, BackendServer] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+
+    # Control.
+
+    def start_control(
+        self, data_centres: typing.Sequence[str], count: int = 3
+    ) -> None:
+        """Create and start the voters."""
+        voters = {
+            ids.VoterId(f"control-{n}"): free_address() for n in range(count)
+        }
+        for number, (voter, address) in enumerate(voters.items()):
+            self.add_control(
+                settings.ControlSettings(
+                    voter=voter,
+                    data_centre=ids.DataCentreId(
+                        data_centres[number % len(data_centres)]
+                    ),
+                    listen=address,
+                    operators_listen=free_address(),
+                    data_folder=str(self.folder / voter),
+                    voters=voters,
+                    bootstrap_key_sha256=key_hash(OPERATOR_KEY),
+                )
+            )
+        for process in self.control.values():
+            process.start()
+
+    def add_control(self, voter: settings.ControlSettings) -> Process:
+        """Create a voter's data folder; the caller starts the process."""
+        path = self.write_settings(voter.voter, voter)
+        module = "flamingocleat.process.control"
+        subprocess.run(
+            [sys.executable, "-m", module, "--settings", path, "--init"],
+            check=True,
+            cwd=_ROOT,
+            env=_environment(),
+            stderr=subprocess.DEVNULL,
+        )
+        process = Process(
+            voter.voter, ["-m", module, "--settings", path], self.folder
+        )
+        self.control[voter.voter] = process
+        self.control_settings[voter.voter] = voter
+        return process
+
+    @property
+    def control_addresses(self) -> tuple[str, ...]:
+        """Return the gRPC addresses of all voters."""
+        return tuple(s.listen for s in self.control_settings.values())
+
+    @property
+    def operators_addresses(self) -> tuple[str, ...]:
+        """Return the operators' HTTP addresses of all voters."""
+        return tuple(s.operators_listen for s in self.control_settings.values())
+
+    # Backend servers.
+
+    def add_engine(
+        self,
+        vm: str,
+        data_centre: str,
+        fabric_domain: str,
+        *options: str,
+        **agent_settings: typing.Any,
+    ) -> BackendServer:
+        """Start an engine stand-in and its agent."""
+        return self._add_backend_server(
+            "engine",
+            options,
+            vm=vm,
+            data_centre=data_centre,
+            fabric_domain=fabric_domain,
+            kind=messages.BackendKind.ENGINE,
+            accelerators=8,
+            **agent_settings,
+        )
+
+    def add_plain(
+        self,
+        vm: str,
+        data_centre: str,
+        service: str,
+        *options: str,
+        **agent_settings: typing.Any,
+    ) -> BackendServer:
+        """Start a plain service's stand-in and its agent."""
+        return self._add_backend_server(
+            "plain",
+            options,
+            vm=vm,
+            data_centre=data_centre,
+            fabric_domain=f"{data_centre}-plain",
+            kind=messages.BackendKind.PLAIN,
+            service=service,
+            **agent_settings,
+        )
+
+    def _add_backend_server(
+        self, stand_in: str, options: tuple[str, ...], **values: typing.Any
+    ) -> BackendServer:
+        vm = values["vm"]
+        address = free_address()
+        values.setdefault("listen", free_address())
+        values.setdefault("data_listen", free_address())
+        values.setdefault("control", self.control_addresses)
+        agent = settings.AgentSettings(
+            backend_url=f"http://{address}", **values
+        )
+        path = self.write_settings(f"agent-{vm}", agent)
+        server = BackendServer(
+            settings=agent,
+            stand_in=Process(
+                f"{stand_in}-{vm}",
+                ["-m", "examples.standins", stand_in]
+                + ["--listen", address, *options],
+                self.folder,
+            ),
+            agent=Process(
+                f"agent-{vm}",
+                ["-m", "flamingocleat.process.agent", "--settings", path],
+                self.folder,
+            ),
+        )
+        self.backend_servers[vm] = server
+        server.stand_in.start()
+        server.agent.start()
+        return server
+
+    # Entries.
+
+    def add_entry(
+        self, entry: str, data_centre: str, **values: typing.Any
+    ) -> settings.EntrySettings:
+        """Start an entry."""
+        values.setdefault("control", self.control_addresses)
+        values.setdefault("drain_notice_s", 0.5)
+        values.setdefault("threads", 64)
+        made = settings.EntrySettings(
+            entry=ids.EntryId(entry),
+            data_centre=ids.DataCentreId(data_centre),
+            listen=free_address(),
+            **values,
+        )
+        path = self.write_settings(entry, made)
+        process = Process(
+            entry,
+            ["-m", "flamingocleat.process.entry", "--settings", path],
+            self.folder,
+        )
+        self.entries[entry] = process
+        self.entry_settings[entry] = made
+        process.start()
+        return made
+
+    # All.
+
+    def write_settings(self, name: str, made: settings.Settings) -> str:
+        """Write one process's settings file and return its path."""
+        path = self.folder / f"{name}.yaml"
+        path.write_text(
+            yaml.safe_dump(msgspec.to_builtins(made)), encoding="utf-8"
+        )
+        return str(path)
+
+    @property
+    def processes(self) -> list[Process]:
+        """Return all processes, those nearest the callers first."""
+        result = list(self.entries.values())
+        for server in self.backend_servers.values():
+            result += [server.agent, server.stand_in]
+        return result + list(self.control.values())
+
+    def ready(self, address: str) -> bool:
+        """Tell whether the process at an HTTP address says it is ready."""
+        try:
+            reply = self.http.request("GET", f"http://{address}/readyz")
+        except urllib3.exceptions.HTTPError:
+            return False
+        return reply.status == 200
+
+    def submit(
+        self, text: str, base_version: int, change_id: str
+    ) -> dict[str, typing.Any]:
+        """Submit a configuration through any voter and return the reply."""
+        for _ in range(100):
+            for address in self.operators_addresses:
+                reply = self._try_submit(address, text, base_version, change_id)
+                if reply is not None and reply.status < 500:
+                    return {"status": reply.status, **json.loads(reply.data)}
+            time.sleep(0.1)
+        raise LauncherError("no voter accepted the configuration")
+
+    def _try_submit(
+        self, address: str, text: str, base_version: int, change_id: str
+    ) -> urllib3.BaseHTTPResponse | None:
+        try:
+            return self.http.request(
+                "POST",
+                f"http://{address}/v1/configuration",
+                body=text.encode(),
+                headers={
+                    "Authorization": f"Bearer {OPERATOR_KEY}",
+                    "Content-Type": "application/yaml",
+                    "Base-Version": str(base_version),
+                    "Change-Id": change_id,
+                },
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def status(self) -> dict[str, typing.Any] | None:
+        """Return the leader's status page, or None without a leader."""
+        for address in self.operators_addresses:
+            try:
+                reply = self.http.request(
+                    "GET",
+                    f"http://{address}/v1/status",
+                    headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
+            if reply.status == 200:
+                return json.loads(reply.data)
+        return None
+
+    def stop(self) -> dict[str, int]:
+        """Stop all gracefully and return the exit status of each."""
+        statuses: dict[str, int] = {}
+        groups = (
+            list(self.entries.values()),
+            [s.agent for s in self.backend_servers.values()],
+            [s.stand_in for s in self.backend_servers.values()],
+            list(self.control.values()),
+        )
+        for group in groups:
+            running = [process for process in group if process.running]
+            for process in running:
+                process.terminate()
+            for process in running:
+                statuses[process.name] = process.wait()
+        return statuses
+
+    def kill(self) -> None:
+        """End all processes at once."""
+        for process in self.processes:
+            process.kill()
+
+
+def key_hash(key: str) -> str:
+    """Return the hex SHA-256 of a bearer key."""
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run the real programs on loopback."""
