--- /dev/null
+++ b/src/flamingocleat/connection/peer.py
@@ -0,0 +1,250 @@
+"""The leader's connection to one follower, and calls between voters."""
+
+import asyncio
+import collections.abc
+import contextlib
+import time
+import typing
+
+import grpclib
+import grpclib.client
+import grpclib.exceptions
+
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.connection import channel
+from flamingocleat.connection import codec
+from flamingocleat.process import logs
+
+if typing.TYPE_CHECKING:
+    from flamingocleat.process import consensus as consensus_module
+
+_log = logs.logger("peer")
+
+HEARTBEAT_INTERVAL_S = 0.1
+HEARTBEAT_TIMEOUT_S = 0.3
+APPEND_TIMEOUT_S = 5.0
+"""Covers an fsync on a slow disk."""
+SNAPSHOT_TIMEOUT_S = 60.0
+RETRY_INTERVAL_S = 0.1
+MAX_APPEND_ENTRIES = 512
+MAX_APPEND_BYTES = 1_048_576
+
+FAILURES = (
+    OSError,
+    TimeoutError,
+    grpclib.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+)
+"""What a call between voters may raise."""
+
+CallFunction = collections.abc.Callable[
+    [codec.Call, str, messages.Message, float],
+    collections.abc.Awaitable[typing.Any],
+]
+"""Makes a unary call: call, address, request, timeout in seconds."""
+
+
+class Caller:
+    """Makes unary calls over gRPC and keeps the channels.
+
+    Heartbeats and votes have a channel of their own, so that they do not
+    wait behind a snapshot. A channel on which a call failed is closed, as
+    its connection may have gone silent; the next call dials anew.
+    """
+
+    def __init__(self) -> None:
+        self.channels: dict[tuple[str, bool], grpclib.client.Channel] = {}
+
+    async def call(
+        self,
+        call: codec.Call,
+        address: str,
+        request: messages.Message,
+        timeout_s: float,
+    ) -> typing.Any:
+        """Make a call; raise OSError, TimeoutError or GRPCError."""
+        is_bulk = isinstance(request, messages.SnapshotRequest) or bool(
+            isinstance(request, messages.AppendRequest) and request.entries
+        )
+        key = (address, is_bulk)
+        if key not in self.channels:
+            self.channels[key] = channel.dial(address)
+        used = self.channels[key]
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await call.ask(used, request, timeout_s)
+        except FAILURES as error:
+            if not _was_answered(error) and self.channels.get(key) is used:
+                del self.channels[key]
+                used.close()
+            raise
+        if reply is None:
+            raise ConnectionError(f"{address} ended {call.path} unanswered")
+        return reply
+
+    def close(self) -> None:
+        """Close all channels."""
+        for used in self.channels.values():
+            used.close()
+        self.channels.clear()
+
+
+class Peer:
+    """Replicates the log to one follower for one term of leadership."""
+
+    def __init__(
+        self,
+        consensus: "consensus_module.Consensus",
+        voter: ids.VoterId,
+        address: str,
+    ) -> None:
+        self.consensus = consensus
+        self.voter = voter
+        self.address = address
+        self.term = consensus.term
+        self.next_index = consensus.entries.last_index + 1
+        self.match_index = 0
+        self.contact_s = time.monotonic()
+        """When the last request that was answered was sent."""
+        self.confirmed_round = 0
+        self.entries_added = asyncio.Event()
+        self.round_begun = asyncio.Event()
+        self.failing = False
+
+    async def run(self) -> None:
+        """Send heartbeats and entries until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._send_heartbeats())
+            group.create_task(self._replicate())
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            self.round_begun.clear()
+            await self._heartbeat()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                    await self.round_begun.wait()
+
+    async def _heartbeat(self) -> None:
+        previous = self.match_index
+        if not self.consensus.entries.holds(previous):
+            previous = 0
+        try:
+            await self._append(previous, (), HEARTBEAT_TIMEOUT_S)
+        except FAILURES as error:
+            self._note_failure(error)
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        else:
+            self._note_success()
+
+    async def _replicate(self) -> None:
+        while True:
+            self.entries_added.clear()
+            if self.next_index > self.consensus.entries.last_index:
+                await self.entries_added.wait()
+                continue
+            try:
+                await self._send_next()
+            except FAILURES as error:
+                self._note_failure(error)
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _send_next(self) -> None:
+        entries = self.consensus.entries
+        previous = self.next_index - 1
+        if not entries.holds(previous):
+            await self._install_snapshot()
+            return
+        batch = entries.after(previous, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
+        reply = await self._append(previous, batch, APPEND_TIMEOUT_S)
+        if reply.term != self.term:
+            return
+        if reply.success:
+            self.next_index = max(self.next_index, reply.match_index + 1)
+        else:
+            back = min(reply.next_index, previous)
+            self.next_index = max(self.match_index + 1, back, 1)
+
+    async def _append(
+        self,
+        previous: int,
+        batch: tuple[messages.LogEntry, ...],
+        timeout_s: float,
+    ) -> messages.AppendReply:
+        entries = self.consensus.entries
+        request = messages.AppendRequest(
+            term=self.term,
+            leader=self.consensus.voter,
+            leader_address=self.consensus.address,
+            target=self.voter,
+            previous_index=previous,
+            previous_term=entries.term(previous) if previous else 0,
+            entries=batch,
+            commit_index=self.consensus.commit_index,
+        )
+        sent_s = time.monotonic()
+        confirmation_round = self.consensus.confirmation_round
+        reply = await self.consensus.call(
+            codec.APPEND, self.address, request, timeout_s
+        )
+        if reply.term == self.term:
+            self.contact_s = max(self.contact_s, sent_s)
+            self.confirmed_round = max(self.confirmed_round, confirmation_round)
+            if reply.success:
+                self.match_index = max(self.match_index, reply.match_index)
+        await self.consensus.on_reply(reply.term)
+        return reply
+
+    async def _install_snapshot(self) -> None:
+        snapshot = self.consensus.snapshot
+        request = messages.SnapshotRequest(
+            term=self.term,
+            leader=self.consensus.voter,
+            leader_address=self.consensus.address,
+            target=self.voter,
+            last_index=snapshot.index,
+            last_term=snapshot.term,
+            data=snapshot.data,
+        )
+        sent_s = time.monotonic()
+        reply = await self.consensus.call(
+            codec.INSTALL_SNAPSHOT, self.address, request, SNAPSHOT_TIMEOUT_S
+        )
+        if reply.term == self.term:
+            self.contact_s = max(self.contact_s, sent_s)
+            self.match_index = max(self.match_index, snapshot.index)
+            self.next_index = max(self.next_index, snapshot.index + 1)
+            logs.info(
+                _log,
+                "snapshot_sent",
+                voter=self.voter,
+                index=snapshot.index,
+                bytes=len(snapshot.data),
+            )
+        await self.consensus.on_reply(reply.term)
+
+    def _note_failure(self, error: BaseException) -> None:
+        if not self.failing:
+            self.failing = True
+            logs.warning(
+                _log,
+                "follower_unreachable",
+                voter=self.voter,
+                address=self.address,
+                reason=repr(error),
+            )
+
+    def _note_success(self) -> None:
+        if self.failing:
+            self.failing = False
+            logs.info(_log, "follower_reachable", voter=self.voter)
+
+
+def _was_answered(error: BaseException) -> bool:
+    """Return whether the other end itself refused the call."""
+    return isinstance(error, grpclib.GRPCError) and error.status in (
+        grpclib.Status.FAILED_PRECONDITION,
+        grpclib.Status.INVALID_ARGUMENT,
+        grpclib.Status.UNAVAILABLE,
+    )
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -67,6 +67,10 @@
     index: int
     term: int
     command: bytes
+    voters: dict[ids.VoterId, str] | None = None
+    """Voters and their addresses from this entry on; None: unchanged."""
+    outgoing: dict[ids.VoterId, str] | None = None
+    """Former voters, whose majority also counts while one is replaced."""
 
 
 class VoteRequest(Message, frozen=True, omit_defaults=True):
--- /dev/null
+++ b/src/flamingocleat/process/storage.py
@@ -0,0 +1,403 @@
+"""Vote, log and snapshot of one voter on disk.
+
+Each record is a header (payload length, CRC of the payload, CRC of these two
+fields; little-endian 32-bit) followed by a MessagePack payload. The header
+has a CRC of its own because a damaged length would otherwise make
+acknowledged records look like a torn tail.
+"""
+
+import fcntl
+import os
+import pathlib
+import struct
+import typing
+import zlib
+
+import msgspec
+
+from flamingocleat import errors
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.process import logs
+
+_log = logs.logger("storage")
+
+_HEADER = struct.Struct("<III")
+_FORMAT = "flamingocleat-voter-1"
+_IDENTITY_FILE = "voter"
+_VOTE_FILE = "vote"
+_LOG_FILE = "log"
+_SNAPSHOT_FILE = "snapshot"
+_LOCK_FILE = "lock"
+_TEMPORARY_SUFFIX = ".tmp"
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Marks a data folder and names the voter that it belongs to."""
+
+    format: str
+    voter: ids.VoterId
+
+
+class Vote(msgspec.Struct, frozen=True):
+    """Latest term and the candidate voted for in it; empty for none."""
+
+    term: int = 0
+    voted_for: ids.VoterId = ids.VoterId("")
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """State after the entry at index, which was of the given term."""
+
+    index: int = 0
+    term: int = 0
+    data: bytes = b""
+
+
+class Storage:
+    """Holds a voter's durable state; each call returns after fsync.
+
+    Not thread-safe: calls are made one at a time. After a write has failed
+    the object refuses further writes, since the state of the file is then
+    unknown until it is read again.
+    """
+
+    def __init__(self, folder: str, lock: typing.BinaryIO) -> None:
+        self.folder = pathlib.Path(folder)
+        self.lock = lock
+        self.broken = ""
+        identity = self._read_single(_IDENTITY_FILE, Identity)
+        if identity.format != _FORMAT:
+            raise errors.StorageError(
+                f"{self.folder / _IDENTITY_FILE}: format is "
+                f"{identity.format!r}, expected {_FORMAT!r}"
+            )
+        self.voter = identity.voter
+        self.vote = self._read_single(_VOTE_FILE, Vote)
+        self.snapshot = Snapshot()
+        if (self.folder / _SNAPSHOT_FILE).exists():
+            self.snapshot = self._read_single(_SNAPSHOT_FILE, Snapshot)
+        self.entries: list[messages.LogEntry] = []
+        self.offsets: list[int] = []
+        self.end = 0
+        self._read_log()
+        self.file = _open_log(self.folder)
+        self._finish_compaction()
+
+    @classmethod
+    def create(cls, folder: str, voter: ids.VoterId) -> "Storage":
+        """Make and open a new data folder; refuse one with content."""
+        path = pathlib.Path(folder)
+        path.mkdir(parents=True, exist_ok=True)
+        if any(path.iterdir()):
+            raise errors.StorageError(
+                f"{folder} is not empty; a new voter needs a new folder"
+            )
+        _sync_folder(path.parent)
+        _replace(path, _LOG_FILE, b"")
+        _replace(path, _VOTE_FILE, frame(_encoder.encode(Vote())))
+        # Written last: without it, a folder left by a crash in here is
+        # refused by open.
+        identity = Identity(_FORMAT, voter)
+        _replace(path, _IDENTITY_FILE, frame(_encoder.encode(identity)))
+        return cls.open(folder)
+
+    @classmethod
+    def open(cls, folder: str) -> "Storage":
+        """Open an existing data folder, or raise StorageError."""
+        path = pathlib.Path(folder)
+        if not (path / _IDENTITY_FILE).is_file():
+            raise errors.StorageError(
+                f"{folder} is no data folder of a voter; make one with "
+                "flamingocleat-control --init and a new voter id"
+            )
+        lock = _lock(path)
+        try:
+            for leftover in path.glob(f"*{_TEMPORARY_SUFFIX}"):
+                leftover.unlink()
+            return cls(folder, lock)
+        except OSError as error:
+            lock.close()
+            raise errors.StorageError(f"{folder}: {error}") from error
+        except errors.StorageError:
+            lock.close()
+            raise
+
+    @property
+    def term(self) -> int:
+        """Latest term known to be saved."""
+        return self.vote.term
+
+    @property
+    def voted_for(self) -> ids.VoterId:
+        """Candidate voted for in that term, or an empty string."""
+        return self.vote.voted_for
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry on disk, or of the snapshot."""
+        return self.snapshot.index + len(self.entries)
+
+    def save_vote(self, term: int, voted_for: ids.VoterId) -> None:
+        """Replace the saved term and vote."""
+        with self._writing():
+            vote = Vote(term, voted_for)
+            _replace(self.folder, _VOTE_FILE, frame(_encoder.encode(vote)))
+            self.vote = vote
+
+    def append(self, entries: typing.Sequence[messages.LogEntry]) -> None:
+        """Add entries that follow the last one, with a single fsync."""
+        if not entries:
+            return
+        self._check_order(entries)
+        frames = [frame(_encoder.encode(entry)) for entry in entries]
+        with self._writing():
+            _write(self.file.fileno(), b"".join(frames))
+            os.fsync(self.file.fileno())
+            for entry, record in zip(entries, frames, strict=True):
+                self.entries.append(entry)
+                self.offsets.append(self.end)
+                self.end += len(record)
+
+    def truncate(self, from_index: int) -> None:
+        """Remove the entry at from_index and all later ones."""
+        position = from_index - self.snapshot.index - 1
+        if position < 0:
+            raise ValueError(f"entry {from_index} is part of the snapshot")
+        if position >= len(self.entries):
+            return
+        with self._writing():
+            self.file.truncate(self.offsets[position])
+            self.file.seek(0, os.SEEK_END)
+            os.fsync(self.file.fileno())
+            self.end = self.offsets[position]
+            del self.entries[position:]
+            del self.offsets[position:]
+
+    def save_snapshot(self, index: int, term: int, data: bytes) -> None:
+        """Replace the snapshot and drop the entries that it covers.
+
+        Entries after index are kept if the entry at index has this term;
+        else they conflict with the snapshot and all are dropped.
+        """
+        if index < self.snapshot.index:
+            raise ValueError(f"snapshot {index} precedes {self.snapshot.index}")
+        with self._writing():
+            snapshot = Snapshot(index, term, data)
+            payload = _encoder.encode(snapshot)
+            _replace(self.folder, _SNAPSHOT_FILE, frame(payload))
+            kept = self._entries_after(snapshot)
+            self.snapshot = snapshot
+            self._rewrite_log(kept)
+
+    def close(self) -> None:
+        """Close the files and let another process open the folder."""
+        self.file.close()
+        self.lock.close()
+
+    def _writing(self) -> "_Writing":
+        return _Writing(self)
+
+    def _check_order(self, entries: typing.Sequence[messages.LogEntry]) -> None:
+        for expected, entry in enumerate(entries, self.last_index + 1):
+            if entry.index != expected:
+                raise ValueError(
+                    f"entry {entry.index} given, {expected} expected"
+                )
+
+    def _entries_after(self, snapshot: Snapshot) -> list[messages.LogEntry]:
+        if not self.entries:
+            return []
+        position = snapshot.index - self.entries[0].index
+        if position == -1:
+            return list(self.entries)
+        if not 0 <= position < len(self.entries):
+            return []
+        if self.entries[position].term != snapshot.term:
+            return []
+        return self.entries[position + 1 :]
+
+    def _rewrite_log(self, kept: list[messages.LogEntry]) -> None:
+        frames = [frame(_encoder.encode(entry)) for entry in kept]
+        _replace(self.folder, _LOG_FILE, b"".join(frames))
+        self.file.close()
+        self.file = _open_log(self.folder)
+        self.entries = kept
+        self.offsets = []
+        self.end = 0
+        for record in frames:
+            self.offsets.append(self.end)
+            self.end += len(record)
+
+    def _finish_compaction(self) -> None:
+        """Drop entries left by a crash after the snapshot was renamed."""
+        if not self.entries:
+            return
+        first = self.entries[0].index
+        if first > self.snapshot.index + 1:
+            raise errors.StorageError(
+                f"{self.folder / _LOG_FILE}: offset 0: first entry is "
+                f"{first}, but the snapshot ends at {self.snapshot.index}"
+            )
+        if first <= self.snapshot.index:
+            self._rewrite_log(self._entries_after(self.snapshot))
+
+    def _read_single(self, name: str, record_type: type) -> typing.Any:
+        path = self.folder / name
+        data = _read(path)
+        payload, end = _parse(path, data, 0)
+        if payload is None or end != len(data):
+            raise errors.StorageError(
+                f"{path}: offset {min(end, len(data))}: "
+                "file does not hold exactly one whole record"
+            )
+        return _decode(path, 0, payload, record_type)
+
+    def _read_log(self) -> None:
+        path = self.folder / _LOG_FILE
+        data = _read(path)
+        offset = 0
+        while offset < len(data):
+            payload, end = _parse(path, data, offset)
+            if payload is None:
+                self._cut_tail(path, offset, len(data))
+                break
+            entry = _decode(path, offset, payload, messages.LogEntry)
+            if self.entries and entry.index != self.entries[-1].index + 1:
+                raise errors.StorageError(
+                    f"{path}: offset {offset}: entry {entry.index} "
+                    f"follows entry {self.entries[-1].index}"
+                )
+            self.entries.append(entry)
+            self.offsets.append(offset)
+            offset = end
+        self.end = offset
+
+    def _cut_tail(self, path: pathlib.Path, offset: int, size: int) -> None:
+        logs.warning(
+            _log,
+            "torn_tail_removed",
+            file=path,
+            offset=offset,
+            bytes=size - offset,
+        )
+        with path.open("r+b") as file:
+            file.truncate(offset)
+            os.fsync(file.fileno())
+
+
+class _Writing:
+    """Turns OSError into StorageError and blocks writes after it."""
+
+    def __init__(self, storage: Storage) -> None:
+        self.storage = storage
+
+    def __enter__(self) -> None:
+        if self.storage.broken:
+            raise errors.StorageError(self.storage.broken)
+
+    def __exit__(
+        self, kind: object, error: BaseException | None, trace: object
+    ) -> None:
+        if error is None:
+            return
+        # After a failed fsync the kernel may have dropped the pages, so a
+        # second fsync that succeeds would prove nothing.
+        self.storage.broken = f"{self.storage.folder}: write failed: {error}"
+        if isinstance(error, OSError):
+            raise errors.StorageError(self.storage.broken) from error
+
+
+def frame(payload: bytes) -> bytes:
+    """Return the payload as one record with its header."""
+    length_and_crc = struct.pack("<II", len(payload), zlib.crc32(payload))
+    header_crc = struct.pack("<I", zlib.crc32(length_and_crc))
+    return length_and_crc + header_crc + payload
+
+
+def _parse(
+    path: pathlib.Path, data: bytes, offset: int
+) -> tuple[bytes | None, int]:
+    """Return the payload at offset and its end; None if it is torn."""
+    start = offset + _HEADER.size
+    if start > len(data):
+        return None, len(data)
+    header = data[offset:start]
+    if not any(header) and not any(data[offset:]):
+        # Some file systems extend a file before its data is written, which
+        # leaves zeros after a crash.
+        return None, len(data)
+    length, payload_crc, header_crc = _HEADER.unpack(header)
+    if zlib.crc32(header[:8]) != header_crc:
+        raise errors.StorageError(
+            f"{path}: offset {offset}: record header has a bad CRC"
+        )
+    end = start + length
+    if end > len(data):
+        return None, len(data)
+    payload = data[start:end]
+    if zlib.crc32(payload) != payload_crc:
+        raise errors.StorageError(
+            f"{path}: offset {offset}: record has a bad CRC"
+        )
+    return payload, end
+
+
+def _decode(
+    path: pathlib.Path, offset: int, payload: bytes, record_type: type
+) -> typing.Any:
+    try:
+        return msgspec.msgpack.decode(payload, type=record_type)
+    except msgspec.MsgspecError as error:
+        raise errors.StorageError(
+            f"{path}: offset {offset}: not a {record_type.__name__}: {error}"
+        ) from error
+
+
+def _read(path: pathlib.Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise errors.StorageError(f"{path}: offset 0: {error}") from error
+
+
+def _open_log(folder: pathlib.Path) -> typing.Any:
+    return (folder / _LOG_FILE).open("ab", buffering=0)
+
+
+def _lock(folder: pathlib.Path) -> typing.BinaryIO:
+    file = (folder / _LOCK_FILE).open("ab")
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        file.close()
+        raise errors.StorageError(
+            f"{folder} is in use by another process"
+        ) from error
+    return file
+
+
+def _replace(folder: pathlib.Path, name: str, data: bytes) -> None:
+    """Replace a file so that a crash leaves the old or the new content."""
+    temporary = folder / (name + _TEMPORARY_SUFFIX)
+    with temporary.open("wb", buffering=0) as file:
+        _write(file.fileno(), data)
+        os.fsync(file.fileno())
+    temporary.replace(folder / name)
+    _sync_folder(folder)
+
+
+def _write(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
