Check configurations for all faults at once

Cause: a configuration was read for syntax only, so a reference to a service that does not exist would have been accepted and put in force everywhere.

Weighed: checks over the structs after a clean read (a second round of review for each document with both kinds of fault) against a reader that keeps the place of every value and reads on after a fault; the latter reports all findings together. Deep nesting and a value that is itself broken YAML raised RecursionError and YAMLError out of the reader; both are findings now.

--- a/src/flamingocleat/version/document.py
+++ b/src/flamingocleat/version/document.py
@@ -26,23 +26,61 @@
 
 def parse(text: str, file: str, document_type: type[T]) -> T:
     """Read YAML text; raise DocumentError with all findings."""
+    examined = examine(text, file, document_type)
+    if examined.findings:
+        raise errors.DocumentError(examined.findings)
+    return examined.value
+
+
+Path = tuple[str | int, ...]
+"""Keys and list positions from the top of a document to a value."""
+
+
+class Examined(typing.Generic[T]):
+    """A document that may have findings, and the place of each value.
+
+    A value that is missing or has the wrong type is None.
+    """
+
+    def __init__(self, file: str, value: T, reader: "_Reader") -> None:
+        self.file = file
+        self.value = value
+        self.places = reader.places
+        self.findings = reader.findings
+
+    def add(self, path: Path, message: str, remedy: str) -> None:
+        """Add a finding at the value, or at the nearest part around it."""
+        while path and path not in self.places:
+            path = path[:-1]
+        line, column = self.places.get(path, (1, 1))
+        self.findings.append(
+            errors.Finding(self.file, line, column, message, remedy)
+        )
+
+
+def examine(text: str, file: str, document_type: type[T]) -> Examined[T]:
+    """Read YAML text; raise DocumentError only if it is no mapping."""
     reader = _Reader(file)
+    node = _compose(text, file)
+    if node is None:
+        raise errors.DocumentError(
+            [errors.Finding(file, 1, 1, "document is empty", "fill it in")]
+        )
+    value = reader.read(node, document_type, ())
+    if value is None:
+        raise errors.DocumentError(reader.findings)
+    return Examined(file, typing.cast(T, value), reader)
+
+
+def _compose(text: str, file: str) -> yaml.Node | None:
     try:
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        return yaml.compose(text, Loader=yaml.SafeLoader)
     except yaml.MarkedYAMLError as error:
         raise errors.DocumentError([_syntax_finding(file, error)]) from error
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, RecursionError) as error:
         raise errors.DocumentError(
             [errors.Finding(file, 1, 1, str(error), "correct the YAML")]
         ) from error
-    if node is None:
-        raise errors.DocumentError(
-            [errors.Finding(file, 1, 1, "document is empty", "fill it in")]
-        )
-    value = reader.read(node, document_type)
-    if reader.findings:
-        raise errors.DocumentError(reader.findings)
-    return typing.cast(T, value)
 
 
 def _syntax_finding(file: str, error: yaml.MarkedYAMLError) -> errors.Finding:
@@ -58,6 +96,7 @@
     def __init__(self, file: str) -> None:
         self.file = file
         self.findings: list[errors.Finding] = []
+        self.places: dict[Path, tuple[int, int]] = {}
 
     def add(self, node: yaml.Node, message: str, remedy: str) -> None:
         mark = node.start_mark
@@ -67,30 +106,33 @@
             )
         )
 
-    def read(self, node: yaml.Node, expected: typing.Any) -> typing.Any:
+    def read(
+        self, node: yaml.Node, expected: typing.Any, path: Path
+    ) -> typing.Any:
+        mark = node.start_mark
+        self.places[path] = (mark.line + 1, mark.column + 1)
         if isinstance(expected, type) and issubclass(expected, msgspec.Struct):
-            return self.read_struct(node, expected)
+            return self.read_struct(node, expected, path)
         origin = typing.get_origin(expected)
         if origin is tuple:
-            return self.read_tuple(node, typing.get_args(expected)[0])
+            return self.read_tuple(node, typing.get_args(expected)[0], path)
         if origin is dict:
-            return self.read_dict(node, typing.get_args(expected)[1])
+            return self.read_dict(node, typing.get_args(expected)[1], path)
         if origin in (types.UnionType, typing.Union):
             members = [
                 a for a in typing.get_args(expected) if a is not type(None)
             ]
-            return self.read(node, members[0])
+            return self.read(node, members[0], path)
         return self.read_scalar(node, expected)
 
     def read_struct(
-        self, node: yaml.Node, expected: type[msgspec.Struct]
+        self, node: yaml.Node, expected: type[msgspec.Struct], path: Path
     ) -> msgspec.Struct | None:
         if not isinstance(node, yaml.MappingNode):
             self.add(node, "expected a mapping", "write key: value lines")
             return None
         fields = {f.encode_name: f for f in msgspec.structs.fields(expected)}
         values: dict[str, typing.Any] = {}
-        before = len(self.findings)
         for key_node, value_node in node.value:
             key = str(key_node.value)
             if key not in fields:
@@ -101,25 +143,36 @@
             elif key in values:
                 self.add(key_node, f"key {key!r} is repeated", "keep one")
             else:
-                values[key] = self.read(value_node, fields[key].type)
+                values[key] = self.read(
+                    value_node, fields[key].type, (*path, key)
+                )
         for name, field in fields.items():
             if field.required and name not in values:
                 self.add(node, f"key {name!r} is missing", f"add {name}")
-        if len(self.findings) > before:
-            return None
+                values[name] = None
         return expected(**values)
 
-    def read_tuple(self, node: yaml.Node, item: typing.Any) -> tuple:
+    def read_tuple(
+        self, node: yaml.Node, item: typing.Any, path: Path
+    ) -> tuple | None:
         if not isinstance(node, yaml.SequenceNode):
             self.add(node, "expected a list", "write a YAML list")
-            return ()
-        return tuple(self.read(child, item) for child in node.value)
+            return None
+        return tuple(
+            self.read(child, item, (*path, position))
+            for position, child in enumerate(node.value)
+        )
 
-    def read_dict(self, node: yaml.Node, item: typing.Any) -> dict:
+    def read_dict(
+        self, node: yaml.Node, item: typing.Any, path: Path
+    ) -> dict | None:
         if not isinstance(node, yaml.MappingNode):
             self.add(node, "expected a mapping", "write key: value lines")
-            return {}
-        return {str(k.value): self.read(v, item) for k, v in node.value}
+            return None
+        return {
+            str(key.value): self.read(value, item, (*path, str(key.value)))
+            for key, value in node.value
+        }
 
     def read_scalar(self, node: yaml.Node, expected: typing.Any) -> typing.Any:
         if not isinstance(node, yaml.ScalarNode):
@@ -128,11 +181,11 @@
         expected = getattr(expected, "__supertype__", expected)
         if expected is str:
             return str(node.value)
-        value = yaml.safe_load(node.value) if node.value else node.value
         try:
+            value = yaml.safe_load(node.value) if node.value else node.value
             return msgspec.convert(value, expected, strict=True)
-        except msgspec.ValidationError as error:
-            self.add(node, str(error), _remedy(expected))
+        except (yaml.YAMLError, RecursionError, ValueError) as error:
+            self.add(node, str(error).partition("\n")[0], _remedy(expected))
             return None
 
 
