--- /dev/null
+++ b/src/flamingocleat/connection/duplex.py
@@ -0,0 +1,49 @@
+"""Helpers for handlers of streams that carry messages both ways."""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+import grpclib
+import grpclib.const
+
+from flamingocleat import errors
+
+Work = collections.abc.Coroutine[typing.Any, typing.Any, None]
+
+
+async def run_both(receive: Work, send: Work) -> None:
+    """Run both directions until one ends; raise what ended it."""
+    tasks = [asyncio.create_task(receive), asyncio.create_task(send)]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        task.result()
+
+
+async def wait_event(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait until the event is set, at most for timeout_s, and clear it."""
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(event.wait(), timeout_s)
+    event.clear()
+
+
+def grpc_error(error: errors.FlamingocleatError) -> grpclib.GRPCError:
+    """Return the gRPC form of an error.
+
+    FAILED_PRECONDITION carries only the leader's address, which may be
+    empty. UNKNOWN says that a proposal may take effect later. UNAVAILABLE
+    says that nothing was proposed.
+    """
+    if isinstance(error, errors.NotLeaderError):
+        return grpclib.GRPCError(
+            grpclib.const.Status.FAILED_PRECONDITION, error.leader_hint
+        )
+    if isinstance(error, errors.CommitUnknownError):
+        return grpclib.GRPCError(grpclib.const.Status.UNKNOWN, str(error))
+    return grpclib.GRPCError(grpclib.const.Status.UNAVAILABLE, str(error))
--- /dev/null
+++ b/src/flamingocleat/process/operators.py
@@ -0,0 +1,719 @@
+"""Operators' HTTP API, and the health pages of the control program.
+
+CherryPy runs in threads of cheroot's server and submits work to the event
+loop. Errors are RFC 9457 documents whose outcome says whether the change was
+made: "not-run" or "unknown".
+"""
+
+import asyncio
+import collections.abc
+import concurrent.futures
+import functools
+import hashlib
+import hmac
+import ipaddress
+import logging
+import re
+import threading
+import time
+import typing
+import uuid
+
+import cheroot.wsgi
+import cherrypy
+import msgspec
+
+from flamingocleat import errors
+from flamingocleat import ids
+from flamingocleat.process import consensus as consensus_module
+from flamingocleat.process import health as health_module
+from flamingocleat.process import leadership as leadership_module
+from flamingocleat.process import logs
+from flamingocleat.process import settings as settings_module
+from flamingocleat.process import shutdown as shutdown_module
+from flamingocleat.version import difference
+from flamingocleat.version import document
+from flamingocleat.version import machine as machine_module
+from flamingocleat.version import schema
+from flamingocleat.version import validation
+
+_log = logs.logger("operators")
+
+MAX_BODY_BYTES = 2 * 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+THREADS = 4
+SOCKET_TIMEOUT_S = 10
+READ_TIMEOUT_S = 5.0
+CHANGE_TIMEOUT_S = 10.0
+AUDIT_LIMIT = 100
+MAX_AUDIT_LIMIT = 1000
+BOOTSTRAP = ids.OperatorId("(bootstrap)")
+"""Cannot be declared as an operator, since it is not a valid name."""
+
+_TOKEN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+
+T = typing.TypeVar("T")
+
+
+class ProblemDocument(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a refusal (RFC 9457); the last three are extensions."""
+
+    title: str
+    status: int
+    detail: str
+    outcome: str = "not-run"
+    findings: tuple[errors.Finding, ...] = ()
+    present_version: int | None = None
+
+
+class ProblemError(errors.FlamingocleatError):
+    """A request is refused, or its outcome is unknown."""
+
+    def __init__(
+        self, problem: ProblemDocument, headers: dict[str, str] | None = None
+    ) -> None:
+        super().__init__(f"{problem.title}: {problem.detail}")
+        self.problem = problem
+        self.headers = headers or {}
+
+
+class Replacement(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Body of a request to replace a voter: the new one."""
+
+    voter: ids.VoterId
+    address: str
+    """gRPC address, host:port."""
+
+
+class ChangeReply(msgspec.Struct, frozen=True):
+    """Body of the answer to an accepted change."""
+
+    change_id: str
+    version: int
+
+
+class EntryLine(msgspec.Struct, frozen=True):
+    """One connected entry on the status page."""
+
+    entry: str
+    data_centre: str
+    confirmed_version: int
+    in_flight: int
+    silent_ms: int
+
+
+class VmLine(msgspec.Struct, frozen=True):
+    """One live VM on the status page."""
+
+    vm: str
+    incarnation: str
+    data_centre: str
+    fabric_domain: str
+    kind: str
+    service: str
+    state: str
+    fence: int
+    serving: bool
+    leaving: bool
+    silent_ms: int
+
+
+class GroupLine(msgspec.Struct, frozen=True):
+    """One assigned group on the status page."""
+
+    group: str
+    service: str
+    model: str
+    fence: int
+    members: tuple[str, ...]
+    serving: bool
+
+
+class StatusPage(msgspec.Struct, frozen=True):
+    """The leader's view of the system."""
+
+    voter: str
+    term: int
+    applied_index: int
+    voters: dict[str, str]
+    version: int
+    in_force: bool
+    """True if each connected entry has confirmed the version."""
+    settled: bool
+    """False while a new leader waits for agents to announce themselves."""
+    entries: tuple[EntryLine, ...]
+    vms: tuple[VmLine, ...]
+    groups: tuple[GroupLine, ...]
+    drained: tuple[str, ...]
+
+
+class Operators:
+    """What the pages do; called from the threads of the HTTP server."""
+
+    def __init__(
+        self,
+        settings: settings_module.ControlSettings,
+        consensus: consensus_module.Consensus,
+        machine: machine_module.Machine,
+        leadership: leadership_module.Leadership,
+        status: collections.abc.Callable[[], StatusPage],
+        calls: shutdown_module.Shutdown,
+    ) -> None:
+        self.settings = settings
+        self.consensus = consensus
+        self.machine = machine
+        self.leadership = leadership
+        self.status = status
+        self.calls = calls
+        self.loop = asyncio.get_running_loop()
+
+    # Reads.
+
+    def read_status(self, key: str) -> StatusPage:
+        """Return the status page."""
+        self.authorise(key)
+        return self.run(self._confirmed(self.status))
+
+    def read_configuration(self, key: str) -> tuple[int, str]:
+        """Return the version in force and its text."""
+        self.authorise(key)
+        version, text = self.run(
+            self._confirmed(lambda: (self.machine.version, self.machine.text))
+        )
+        if not version:
+            raise _problem(404, "No configuration", "none was accepted yet")
+        return version, text
+
+    def read_audit(
+        self, key: str, after: int, limit: int
+    ) -> list[machine_module.AuditRecord]:
+        """Return records above a log index, or the last ones if it is 0."""
+        self.authorise(key)
+        records = self.run(self._confirmed(lambda: list(self.machine.audit)))
+        if after:
+            return [r for r in records if r.index > after][:limit]
+        return records[-limit:]
+
+    # Changes.
+
+    def submit(
+        self, key: str, base_version: int, change_id: str, text: str
+    ) -> ChangeReply:
+        """Submit a configuration."""
+        operator = self.authorise(key, change_id)
+        configuration = validation.check(text, "configuration")
+        changes = difference.compare(self.machine.configuration, configuration)
+        return self._change(
+            machine_module.SubmitConfiguration(
+                operator=operator,
+                change_id=ids.ChangeId(change_id),
+                base_version=ids.ConfigurationVersion(base_version),
+                configuration=configuration,
+                text=text,
+                difference=difference.text(changes),
+                time_ms=_now_ms(),
+            )
+        )
+
+    def drain(
+        self, key: str, change_id: str, vm: str, drained: bool
+    ) -> ChangeReply:
+        """Drain a VM, or end its drain."""
+        operator = self.authorise(key, change_id)
+        return self._change(
+            machine_module.DrainVm(
+                operator=operator,
+                change_id=ids.ChangeId(change_id),
+                vm=ids.VmId(vm),
+                drained=drained,
+                time_ms=_now_ms(),
+            )
+        )
+
+    def replace_voter(
+        self, key: str, change_id: str, old: str, new: Replacement
+    ) -> ChangeReply:
+        """Replace a voter by one with a new voter id."""
+        operator = self.authorise(key, change_id)
+        return self._change(
+            machine_module.ReplaceVoter(
+                operator=operator,
+                change_id=ids.ChangeId(change_id),
+                old=ids.VoterId(old),
+                new=new.voter,
+                address=new.address,
+                time_ms=_now_ms(),
+            )
+        )
+
+    # Common parts.
+
+    def authorise(self, key: str, change_id: str = "") -> ids.OperatorId:
+        """Return whose key it is, by the configuration in force."""
+        known = self.run(self._confirmed(lambda: self._known(change_id)))
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        operator = None
+        # All hashes are compared, so that the time tells nothing.
+        for name, expected in known:
+            if hmac.compare_digest(digest, expected):
+                operator = name
+        if operator is None:
+            raise _problem(
+                401,
+                "Not authorised",
+                "the key belongs to no operator",
+                headers={"WWW-Authenticate": "Bearer"},
+            )
+        return operator
+
+    def _known(self, change_id: str) -> list[tuple[ids.OperatorId, str]]:
+        configuration: schema.Configuration | None = self.machine.configuration
+        known = [
+            (operator.name, operator.key_sha256)
+            for operator in (configuration.operators if configuration else ())
+        ]
+        # The first version takes the bootstrap key's right away. A resend of
+        # that submission must still get its outcome.
+        repeated = (BOOTSTRAP, ids.ChangeId(change_id)) in self.machine.changes
+        if configuration is None or repeated:
+            known.append((BOOTSTRAP, self.settings.bootstrap_key_sha256))
+        return known
+
+    def _change(
+        self,
+        command: machine_module.SubmitConfiguration
+        | machine_module.DrainVm
+        | machine_module.ReplaceVoter,
+    ) -> ChangeReply:
+        outcome = self.run(self._propose(command))
+        logs.info(
+            _log,
+            "change_decided",
+            action=type(command).__name__,
+            operator=command.operator,
+            change_id=command.change_id,
+            decision=outcome.decision.value,
+            version=outcome.version,
+            reason=outcome.reason,
+        )
+        if outcome.decision is machine_module.Decision.ACCEPTED:
+            return ChangeReply(command.change_id, outcome.version)
+        status, title = _REFUSALS[outcome.decision]
+        raise ProblemError(
+            ProblemDocument(
+                title, status, outcome.reason, present_version=outcome.version
+            )
+        )
+
+    async def _confirmed(self, read: collections.abc.Callable[[], T]) -> T:
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await self.leadership.admit()
+                await self.consensus.confirm()
+        except TimeoutError as error:
+            raise errors.UnavailableError("no quorum answered") from error
+        return read()
+
+    async def _propose(
+        self, command: machine_module.Command
+    ) -> machine_module.ChangeOutcome:
+        await self.leadership.admit()
+        try:
+            async with asyncio.timeout(CHANGE_TIMEOUT_S):
+                return await self.consensus.propose(command)
+        except TimeoutError as error:
+            raise errors.CommitUnknownError(
+                f"no quorum answered within {CHANGE_TIMEOUT_S} s"
+            ) from error
+
+    def run(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, T]
+    ) -> T:
+        """Run work on the event loop and return its result."""
+        try:
+            future = asyncio.run_coroutine_threadsafe(work, self.loop)
+        except RuntimeError as error:
+            work.close()
+            raise errors.UnavailableError("shutting down") from error
+        try:
+            return future.result()
+        except concurrent.futures.CancelledError as error:
+            raise errors.CommitUnknownError("shutting down") from error
+
+
+_REFUSALS = {
+    machine_module.Decision.OUTDATED: (409, "Another change came first"),
+    machine_module.Decision.REFUSED: (422, "Change refused"),
+}
+
+
+def _problem(
+    status: int,
+    title: str,
+    detail: str,
+    outcome: str = "not-run",
+    headers: dict[str, str] | None = None,
+) -> ProblemError:
+    return ProblemError(
+        ProblemDocument(title, status, detail, outcome), headers
+    )
+
+
+def _now_ms() -> int:
+    return int(time.time() * 1000)
+
+
+# HTTP.
+
+
+def _answer(method: collections.abc.Callable[..., T]) -> typing.Any:
+    """Encode what a page returns, and errors as problem documents."""
+
+    @functools.wraps(method)
+    def page(self: "_Page", *segments: str, **query: str) -> bytes:
+        operators = self.operators
+        try:
+            with operators.calls.call(f"operator-{uuid.uuid4()}"):
+                result = method(self, *segments, **query)
+        except errors.FlamingocleatError as error:
+            return _respond(_as_problem(operators, error))
+        if isinstance(result, bytes):
+            return result
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return msgspec.json.encode(result) + b"\n"
+
+    return page
+
+
+def _respond(error: ProblemError) -> bytes:
+    response = cherrypy.response
+    response.status = error.problem.status
+    response.headers["Content-Type"] = "application/problem+json"
+    response.headers.update(error.headers)
+    return msgspec.json.encode(error.problem) + b"\n"
+
+
+def _as_problem(
+    operators: Operators, error: errors.FlamingocleatError
+) -> ProblemError:
+    """Return the problem document that tells an error."""
+    if isinstance(error, ProblemError):
+        return error
+    if isinstance(error, errors.DocumentError):
+        return ProblemError(
+            ProblemDocument(
+                "Document has findings",
+                422,
+                f"{len(error.findings)} findings",
+                findings=tuple(error.findings),
+            )
+        )
+    if isinstance(error, errors.CommitUnknownError):
+        return _problem(504, "Outcome unknown", str(error), "unknown")
+    if isinstance(error, errors.NotLeaderError):
+        return _redirect(operators)
+    return _problem(
+        503, "Unavailable", str(error), headers={"Retry-After": "1"}
+    )
+
+
+def _redirect(operators: Operators) -> ProblemError:
+    leader = operators.consensus.leader
+    address = operators.settings.operators_addresses.get(leader)
+    if leader == operators.settings.voter or not address:
+        return _problem(
+            503,
+            "Not the leader",
+            f"leader is {leader or 'unknown'}",
+            headers={"Retry-After": "1"},
+        )
+    request = cherrypy.request
+    query = f"?{request.query_string}" if request.query_string else ""
+    location = f"http://{address}{request.path_info}{query}"
+    return _problem(
+        307,
+        "Not the leader",
+        f"leader is {leader}",
+        headers={"Location": location},
+    )
+
+
+def _key() -> str:
+    scheme, _, key = cherrypy.request.headers.get(
+        "Authorization", ""
+    ).partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _change_id() -> str:
+    change_id = cherrypy.request.headers.get("Change-Id", "")
+    if not _TOKEN.fullmatch(change_id):
+        raise _problem(
+            400,
+            "Malformed request",
+            "Change-Id must be 1 to 128 letters, digits, '.', '_', ':', '-'",
+        )
+    return change_id
+
+
+def _number(name: str, text: str, least: int, most: int) -> int:
+    if not re.fullmatch(r"[0-9]{1,18}", text) or not (
+        least <= int(text) <= most
+    ):
+        raise _problem(
+            400,
+            "Malformed request",
+            f"{name} must be a number from {least} to {most}",
+        )
+    return int(text)
+
+
+def _body() -> str:
+    """Return the body as text; refuse an unbounded or oversized one."""
+    request = cherrypy.request
+    length_text = request.headers.get("Content-Length")
+    # A body that is not read would be taken for the next request.
+    close = {"Connection": "close"}
+    if length_text is None or not re.fullmatch(r"[0-9]{1,18}", length_text):
+        raise _problem(
+            411, "Length required", "send Content-Length", headers=close
+        )
+    length = int(length_text)
+    if length > MAX_BODY_BYTES:
+        raise _problem(
+            413,
+            "Body too large",
+            f"at most {MAX_BODY_BYTES} bytes are accepted",
+            headers=close,
+        )
+    data = request.rfile.read(length)
+    if len(data) != length:
+        raise _problem(400, "Malformed request", "body is incomplete")
+    try:
+        return data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise _problem(400, "Malformed request", "body is not UTF-8") from error
+
+
+class _Page:
+    """Base of all pages; CherryPy calls the method named like the verb."""
+
+    exposed = True
+
+    def __init__(self, operators: Operators) -> None:
+        self.operators = operators
+
+
+class _Configuration(_Page):
+    @_answer
+    def GET(self) -> bytes:  # noqa: N802 (CherryPy's name)
+        version, text = self.operators.read_configuration(_key())
+        cherrypy.response.headers["Content-Type"] = "application/yaml"
+        cherrypy.response.headers["Configuration-Version"] = str(version)
+        return text.encode()
+
+    @_answer
+    def POST(self) -> ChangeReply:  # noqa: N802
+        text = _body()
+        base_version = _number(
+            "Base-Version",
+            cherrypy.request.headers.get("Base-Version", ""),
+            0,
+            2**53,
+        )
+        return self.operators.submit(_key(), base_version, _change_id(), text)
+
+
+class _Status(_Page):
+    @_answer
+    def GET(self) -> StatusPage:  # noqa: N802
+        return self.operators.read_status(_key())
+
+
+class _Audit(_Page):
+    @_answer
+    def GET(  # noqa: N802
+        self, after: str = "0", limit: str = str(AUDIT_LIMIT)
+    ) -> list[machine_module.AuditRecord]:
+        return self.operators.read_audit(
+            _key(),
+            _number("after", after, 0, 2**53),
+            _number("limit", limit, 1, MAX_AUDIT_LIMIT),
+        )
+
+
+class _Drain(_Page):
+    @_answer
+    def POST(self, vm: str) -> ChangeReply:  # noqa: N802
+        return self._drain(vm, True)
+
+    @_answer
+    def DELETE(self, vm: str) -> ChangeReply:  # noqa: N802
+        return self._drain(vm, False)
+
+    def _drain(self, vm: str, drained: bool) -> ChangeReply:
+        if not _TOKEN.fullmatch(vm):
+            raise _problem(400, "Malformed request", "not a VM's name")
+        return self.operators.drain(_key(), _change_id(), vm, drained)
+
+
+@cherrypy.popargs("vm")
+class _Vms:
+    def __init__(self, operators: Operators) -> None:
+        self.drain = _Drain(operators)
+
+
+class _VoterReplacement(_Page):
+    @_answer
+    def POST(self, voter: str) -> ChangeReply:  # noqa: N802
+        new = document.parse(_body(), "body", Replacement)
+        if not _TOKEN.fullmatch(new.voter) or not is_address(new.address):
+            raise _problem(
+                400,
+                "Malformed request",
+                "give voter, and address as IP number and port",
+            )
+        return self.operators.replace_voter(_key(), _change_id(), voter, new)
+
+
+@cherrypy.popargs("voter")
+class _Voters:
+    def __init__(self, operators: Operators) -> None:
+        self.replacement = _VoterReplacement(operators)
+
+
+class _First:
+    """Pages below /v1."""
+
+    def __init__(self, operators: Operators) -> None:
+        self.configuration = _Configuration(operators)
+        self.status = _Status(operators)
+        self.audit = _Audit(operators)
+        self.vms = _Vms(operators)
+        self.voters = _Voters(operators)
+
+
+class _HealthPage:
+    exposed = True
+
+    def __init__(self, health: health_module.Health, path: str) -> None:
+        self.health = health
+        self.path = path
+
+    def GET(self) -> bytes:  # noqa: N802
+        status, content_type, body = self.health.page(self.path)
+        cherrypy.response.status = status
+        cherrypy.response.headers["Content-Type"] = content_type
+        return body
+
+
+class _Root:
+    def __init__(
+        self, operators: Operators, health: health_module.Health
+    ) -> None:
+        self.v1 = _First(operators)
+        self.livez = _HealthPage(health, "/livez")
+        self.readyz = _HealthPage(health, "/readyz")
+        self.metrics = _HealthPage(health, "/metrics")
+
+
+def is_address(text: str) -> bool:
+    """Return whether the text is an IP number, a colon and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        return 0 < int(port) < 65536
+    except ValueError:
+        return False
+
+
+def _error_page(
+    status: str, message: str, traceback: str, version: str
+) -> bytes:
+    cherrypy.response.headers["Content-Type"] = "application/problem+json"
+    code, _, title = status.partition(" ")
+    return msgspec.json.encode(ProblemDocument(title, int(code), message))
+
+
+def _unexpected() -> None:
+    """Tell an unforeseen error; a change may have been proposed before it."""
+    logs.error(
+        _log,
+        "request_failed",
+        path=cherrypy.request.path_info,
+        reason=repr(cherrypy._cperror._exc_info()[1]),
+    )
+    cherrypy.response.body = _respond(
+        _problem(500, "Internal error", "see the log", "unknown")
+    )
+
+
+def application(
+    operators: Operators, health: health_module.Health
+) -> cherrypy.Application:
+    """Return the WSGI application."""
+    cherrypy.config.update({"log.screen": False})
+    made = cherrypy.Application(
+        _Root(operators, health),
+        "",
+        {
+            "/": {
+                "request.dispatch": cherrypy.dispatch.MethodDispatcher(),
+                "request.process_request_body": False,
+                "request.show_tracebacks": False,
+                "request.error_response": _unexpected,
+                "error_page.default": _error_page,
+            }
+        },
+    )
+    # Events are logged as key=value lines instead.
+    for log in (made.log.error_log, made.log.access_log):
+        log.propagate = False
+        log.addHandler(logging.NullHandler())
+    return made
+
+
+class _Server(cheroot.wsgi.Server):
+    """Writes its errors as key=value lines."""
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        if level >= logging.WARNING:
+            logs.warning(_log, "http_server", reason=msg)
+
+
+class HttpServer:
+    """cheroot's server in threads of its own."""
+
+    def __init__(
+        self, listen: str, made: collections.abc.Callable[..., typing.Any]
+    ) -> None:
+        host, _, port = listen.rpartition(":")
+        self.server = _Server(
+            (host.strip("[]"), int(port)),
+            made,
+            numthreads=THREADS,
+            max=THREADS,
+            request_queue_size=64,
+            timeout=SOCKET_TIMEOUT_S,
+            shutdown_timeout=SOCKET_TIMEOUT_S,
+        )
+        self.server.max_request_header_size = MAX_HEADER_BYTES
+        # The pages refuse smaller bodies with a problem document already.
+        self.server.max_request_body_size = 4 * MAX_BODY_BYTES
+        self.thread = threading.Thread(
+            target=self.server.serve, name="operators", daemon=True
+        )
+
+    def start(self) -> None:
+        """Listen and serve; raise OSError if the address is taken."""
+        self.server.prepare()
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Finish the requests in flight and stop."""
+        self.server.stop()
+        self.thread.join(SOCKET_TIMEOUT_S)
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -28,6 +28,9 @@
     data_folder: str
     voters: dict[ids.VoterId, str]
     """gRPC addresses of the voters at the first start, this one included."""
+    operators_addresses: dict[ids.VoterId, str] = {}
+    """HTTP addresses for operators of the voters, for redirects to the
+    leader. Without the leader's address, a follower answers 503."""
     snapshot_interval_entries: int = 1000
     bootstrap_key_sha256: str = ""
     """Hex SHA-256 of the operator key that may submit the first version."""
@@ -77,3 +80,16 @@
     """True if the engine refuses orders with an old fencing number."""
     threads: int = 64
     """Calls passed to the backend server at once."""
+
+
+class CtlSettings(
+    Settings, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of flamingocleat-ctl."""
+
+    control: tuple[str, ...]
+    """HTTP addresses for operators of control."""
+    key_file: str
+    """File that holds the operator's bearer key."""
+    timeout_s: float = 30.0
+    """Time in which one command tries to get an answer."""
