--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -184,6 +184,9 @@
     loaded: tuple[str, ...] = ()
     """Models in memory, as model@version."""
     load: Load = Load()
+    in_flight: int = 0
+    """Calls that this agent is passing on. Control releases the group of a
+    leaving VM once its lead has none."""
 
 
 class AgentOrder(Message, frozen=True, omit_defaults=True):
@@ -310,6 +313,9 @@
     group: ids.GroupId
     fence: ids.FencingNumber
     sequence: int
+    drained: bool = False
+    """A member is leaving, and the lead neither takes calls nor has any in
+    flight, so the member may stop."""
 
 
 class Pong(Message, frozen=True, omit_defaults=True):
--- /dev/null
+++ b/tests/agent_support.py
@@ -0,0 +1,325 @@
+"""A small control and processes for tests of the agent."""
+
+import asyncio
+import collections.abc
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+import grpclib
+import grpclib.const
+import grpclib.server
+import urllib3
+
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.connection import channel
+from flamingocleat.connection import codec
+
+ROOT = pathlib.Path(__file__).parent.parent
+ENVIRONMENT = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+WAIT_S = 15.0
+
+
+def free_address() -> str:
+    """Return a loopback address that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def wait_until(
+    condition: collections.abc.Callable[[], typing.Any], what: str
+) -> typing.Any:
+    """Return the condition's value once it is true; fail after a bound."""
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"did not happen: {what}")
+
+
+class Control:
+    """Speaks AgentSession and Conclude on a loop in a thread."""
+
+    def __init__(self) -> None:
+        self.address = free_address()
+        self.statuses: dict[str, messages.AgentStatus] = {}
+        self.history: list[messages.AgentStatus] = []
+        self.orders: dict[str, messages.AgentOrder] = {}
+        self.answers: list[messages.ConcludeRequest] = []
+        self.leader_hint = ""
+        self.sessions = 0
+        self.silent = False
+        self.conclude_failures = 0
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+        self.server: grpclib.server.Server | None = None
+        self.run(self._start())
+
+    def run(self, coroutine: typing.Any) -> typing.Any:
+        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return future.result(WAIT_S)
+
+    async def _start(self) -> None:
+        service = codec.Service(
+            {
+                codec.AGENT_SESSION: self._session,
+                codec.CONCLUDE: self._conclude,
+            }
+        )
+        self.server = grpclib.server.Server([service], codec=codec.Codec())
+        host, port = self.address.split(":")
+        await self.server.start(host, int(port))
+
+    def _refuse_as_follower(self) -> None:
+        if self.leader_hint:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.FAILED_PRECONDITION, self.leader_hint
+            )
+
+    async def _session(self, stream: typing.Any) -> None:
+        self.sessions += 1
+        self._refuse_as_follower()
+        while (status := await stream.recv_message()) is not None:
+            self.statuses[status.vm] = status
+            self.history.append(status)
+            if not self.silent:
+                order = self.orders.get(status.vm, messages.AgentOrder())
+                await stream.send_message(order)
+
+    async def _conclude(self, stream: typing.Any) -> None:
+        self._refuse_as_follower()
+        request = await stream.recv_message()
+        if self.conclude_failures:
+            self.conclude_failures -= 1
+            raise grpclib.GRPCError(grpclib.const.Status.UNAVAILABLE)
+        self.answers.append(request)
+        await stream.send_message(
+            messages.ConcludeReply(state=messages.ClaimState.ANSWERED)
+        )
+
+    def member(self, vm: str) -> messages.Member:
+        status = wait_until(lambda: self.statuses.get(vm), f"{vm} announces")
+        return messages.Member(
+            status.vm, status.incarnation, status.control_address
+        )
+
+    def assign(
+        self, fence: int, vms: list[str], group: str = "g/0"
+    ) -> messages.Assignment:
+        assignment = messages.Assignment(
+            group=ids.GroupId(group),
+            fence=ids.FencingNumber(fence),
+            service=ids.ServiceId("drafting-llm"),
+            model="m",
+            model_version="1",
+            members=tuple(self.member(vm) for vm in vms),
+        )
+        for vm in vms:
+            self.orders[vm] = messages.AgentOrder(assignment=assignment)
+        return assignment
+
+    def wait_serving(self, vm: str, fence: int) -> messages.AgentStatus:
+        return wait_until(
+            lambda: (
+                (status := self.statuses[vm]).serving
+                and status.fence == fence
+                and status
+            ),
+            f"{vm} serves under {fence}",
+        )
+
+    def stop(self) -> None:
+        async def close() -> None:
+            assert self.server
+            self.server.close()
+            await self.server.wait_closed()
+
+        self.run(close())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+
+class Process:
+    """A child process that is ended by its id."""
+
+    def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
+        with log.open("ab") as file:
+            self.child = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                env=ENVIRONMENT,
+                stderr=file,
+                stdout=file,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        self.child.send_signal(number)
+
+    def end(self) -> None:
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
+
+
+class Site:
+    """A control, stand-ins and agents in one folder."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.control = Control()
+        self.processes: list[Process] = []
+        self.agents: dict[str, Process] = {}
+        self.files: dict[str, pathlib.Path] = {}
+        self.http = urllib3.PoolManager(retries=False, timeout=WAIT_S)
+
+    def standin(self, kind: str, *options: str) -> str:
+        """Start a stand-in; its journal is the file of its name."""
+        address = free_address()
+        port = address.split(":")[1]
+        log = self.folder / f"{kind}-{port}.log"
+        self.files[address] = self.folder / f"{kind}-{port}.jsonl"
+        self.processes.append(
+            Process(
+                [
+                    *("-m", "examples.standins", kind, "--listen", address),
+                    *("--log", str(self.files[address]), *options),
+                ],
+                log,
+            )
+        )
+        wait_until(lambda: _listens(address), f"{kind} listens")
+        return address
+
+    def journal(self, address: str, event: str) -> list[dict]:
+        """Return the stand-in's journal lines of one event."""
+        if not self.files[address].exists():
+            return []
+        lines = self.files[address].read_text().splitlines()
+        return [x for x in map(json.loads, lines) if x["event"] == event]
+
+    def agent(
+        self,
+        vm: str,
+        backend: str,
+        kind: str = "engine",
+        control: tuple[str, ...] = (),
+        **settings: object,
+    ) -> Process:
+        """Start an agent, or start it again with its earlier settings."""
+        path = self.folder / f"{vm}.yaml"
+        if not path.exists():
+            fields = {
+                "vm": vm,
+                "data_centre": "praha-a",
+                "fabric_domain": "rack-1",
+                "kind": kind,
+                "listen": free_address(),
+                "data_listen": free_address(),
+                "backend_url": f"http://{backend}",
+                "control": list(control) or [self.control.address],
+                "threads": 16,
+                **settings,
+            }
+            path.write_text(json.dumps(fields))
+        process = Process(
+            ["-m", "flamingocleat.process.agent", "--settings", str(path)],
+            self.folder / f"{vm}.log",
+        )
+        self.processes.append(process)
+        self.agents[vm] = process
+        return process
+
+    def group(self, fence: int, *vms: str) -> messages.AgentStatus:
+        """Start a group with an engine for each VM; return its lead."""
+        for vm in vms:
+            engine = self.standin("engine", "--load-ms", "50")
+            self.agent(vm, engine)
+        self.control.assign(fence, list(vms))
+        return self.control.wait_serving(vms[0], fence)
+
+    def headers(
+        self, agent: messages.AgentStatus, **more: str
+    ) -> dict[str, str]:
+        """Return an entry's headers for a call to this agent."""
+        return {
+            "X-Request-Id": "r-1",
+            "Flamingocleat-Fence": str(agent.fence),
+            "Flamingocleat-Incarnation": agent.incarnation,
+            "Flamingocleat-Deadline-Ms": "20000",
+            **{name.replace("_", "-"): value for name, value in more.items()},
+        }
+
+    def call(
+        self,
+        agent: messages.AgentStatus,
+        body: bytes,
+        path: str = "/v1/chat/completions",
+        stream: bool = False,
+        **more: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a call as an entry does."""
+        return self.http.request(
+            "POST",
+            f"http://{agent.data_address}{path}",
+            body=body,
+            headers=self.headers(agent, **more),
+            preload_content=not stream,
+        )
+
+    def void(
+        self, agent: messages.AgentStatus, permit: str
+    ) -> messages.PermitState:
+        """Ask an agent to void a permit."""
+
+        async def ask() -> messages.VoidReply:
+            dialled = channel.dial(agent.control_address)
+            request = messages.VoidRequest(
+                ids.PermitId(permit), agent.incarnation
+            )
+            try:
+                return await codec.VOID.ask(dialled, request, WAIT_S)
+            finally:
+                dialled.close()
+
+        return asyncio.run(ask()).state
+
+    def close(self) -> None:
+        """End all processes that this object started."""
+        for process in self.processes:
+            process.end()
+        self.control.stop()
+
+
+def _listens(address: str) -> bool:
+    host, port = address.split(":")
+    try:
+        socket.create_connection((host, int(port)), 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+def chat(content: str, tokens: int, stream: bool = True) -> bytes:
+    """Return a chat request's body."""
+    message = {"role": "user", "content": content}
+    return json.dumps(
+        {"messages": [message], "max_tokens": tokens, "stream": stream}
+    ).encode()
+
+
+def outcome(response: urllib3.BaseHTTPResponse) -> str:
+    """Return the outcome that an agent told."""
+    return response.headers["Flamingocleat-Outcome"]
