Serve callers from an entry that follows control

Cause: nothing took callers' requests. The entry watches the control leader and the agents of its subset, admits and routes with the policy modules, and relays streams and whole answers.

Weighed: views carry no proof of when they were sent, and one may wait in a buffer while this process is paused. EntryStatus now has a sequence that ClusterView echoes (both default to 0), so a view confirms the configuration only for the time at which the echoed status was sent. Without an echo the regular status before the last one is the bound. Reopening the stream for each confirmation was ruled out, as it costs a dial every second. The id towards agents is made unique when the caller chose one: engines cancel by that id, so that two callers with one id would stop each other. Each attempt uses a new connection, which cannot be one that went silent.

Before: no entry.

Conclusion: thin, but other parts can run against it.

--- /dev/null
+++ b/src/flamingocleat/connection/watch.py
@@ -0,0 +1,416 @@
+"""Entry's watches of the control leader and of its backend servers."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import itertools
+import threading
+import time
+
+import grpclib
+import grpclib.client
+import grpclib.const
+import grpclib.exceptions
+import msgspec
+
+from flamingocleat import errors
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.connection import channel
+from flamingocleat.connection import codec
+from flamingocleat.process import logs
+from flamingocleat.process import settings
+from flamingocleat.version import routing
+from flamingocleat.version import schema
+
+STATUS_INTERVAL_S = 0.5
+CONTROL_SILENCE_S = 1.5
+BACKEND_SILENCE_S = 1.0
+
+REDIAL_PAUSE_S = 0.1
+"""Pause once every known address has failed, against a busy loop."""
+
+_log = logs.logger("watch")
+
+_FAILURES = (
+    grpclib.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+    OSError,
+    TimeoutError,
+    errors.ProtocolError,
+    msgspec.MsgspecError,
+)
+
+
+class State(msgspec.Struct, frozen=True):
+    """What control has told the entry; replaced as a whole."""
+
+    version: ids.ConfigurationVersion = ids.ConfigurationVersion(0)
+    configuration: schema.Configuration | None = None
+    backends: tuple[messages.BackendView, ...] = ()
+    entry_count: int = 1
+
+
+class Session:
+    """Times of the statuses sent on one stream.
+
+    A view may have waited in buffers of the network or, while this
+    process was paused, of the kernel. It proves a confirmation only for
+    the time at which the status that it echoes was sent, since the
+    quorum round began after that status had arrived.
+    """
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.sent_s: collections.deque[tuple[int, float]] = collections.deque()
+        self.regular_s: collections.deque[float] = collections.deque(maxlen=2)
+
+    def send(self, now_s: float) -> int:
+        """Record a status that is about to be sent; return its sequence."""
+        self.sequence += 1
+        self.sent_s.append((self.sequence, now_s))
+        if not self.regular_s or (
+            now_s - self.regular_s[-1] >= STATUS_INTERVAL_S * 0.9
+        ):
+            self.regular_s.append(now_s)
+        return self.sequence
+
+    def confirmed_s(self, echo: int) -> float:
+        """Return the time for which a view proves confirmation.
+
+        Without an echo this is the regular status before the last one,
+        or the first status for the first view. That bound holds after a
+        pause of this process, but not for a view delayed by the network.
+        """
+        if not echo:
+            return self.regular_s[0]
+        while self.sent_s and self.sent_s[0][0] < echo:
+            self.sent_s.popleft()
+        if not self.sent_s or self.sent_s[0][0] != echo:
+            raise errors.ProtocolError(f"view echoes {echo}, never sent")
+        return self.sent_s[0][1]
+
+
+class Control:
+    """The task for the control leader, and what it has learnt.
+
+    `state`, `confirmed_s` and `channel` may be read from any thread.
+    """
+
+    def __init__(
+        self,
+        entry_settings: settings.EntrySettings,
+        in_flight: collections.abc.Callable[[], int],
+    ) -> None:
+        self.settings = entry_settings
+        self.in_flight = in_flight
+        self.state = State()
+        self.confirmed_s = float("-inf")
+        self.channel: grpclib.client.Channel | None = None
+        """To the leader, while its stream is live; None otherwise."""
+        self.taken = asyncio.Event()
+        self.callbacks: list[collections.abc.Callable[[], None]] = []
+
+    def subscribe(self, callback: collections.abc.Callable[[], None]) -> None:
+        """Call back on the loop whenever the state has changed."""
+        self.callbacks.append(callback)
+
+    def stale(self) -> str:
+        """Return why new work must be refused, or an empty string."""
+        configuration = self.state.configuration
+        if configuration is None:
+            return "no configuration has arrived yet"
+        policy = configuration.policy
+        if policy.stale_configuration is schema.StaleConfiguration.SERVE:
+            return ""
+        age_s = time.monotonic() - self.confirmed_s
+        if age_s <= policy.staleness_limit_s:
+            return ""
+        return f"the configuration was last confirmed {age_s:.1f} s ago"
+
+    async def run(self) -> None:
+        """Follow the leader until the task is cancelled."""
+        addresses = itertools.cycle(self.settings.control)
+        hint = ""
+        failed = 0
+        while True:
+            address = hint or next(addresses)
+            confirmed_s = self.confirmed_s
+            hint = await self._follow(address)
+            failed = 0 if self.confirmed_s > confirmed_s else failed + 1
+            if failed >= len(self.settings.control):
+                failed = 0
+                await asyncio.sleep(REDIAL_PAUSE_S)
+
+    async def _follow(self, address: str) -> str:
+        """Follow one voter until it fails; return its leader hint."""
+        reason, hint = "stream ended", ""
+        dialled = channel.dial(address)
+        try:
+            await self._watch(dialled)
+        except grpclib.GRPCError as error:
+            reason = f"{error.status.name} {error.message}"
+            if error.status is grpclib.const.Status.FAILED_PRECONDITION:
+                hint = _address(error.message)
+        except _FAILURES as error:
+            reason = str(error) or type(error).__name__
+        finally:
+            self.channel = None
+            dialled.close()
+        logs.info(
+            _log, "control_lost", address=address, reason=reason, hint=hint
+        )
+        return hint if hint != address else ""
+
+    async def _watch(self, dialled: grpclib.client.Channel) -> None:
+        session = Session()
+        async with codec.CONTROL_WATCH.open(dialled) as stream:
+            async with asyncio.timeout(CONTROL_SILENCE_S):
+                await self._send(stream, session)
+            reporter = asyncio.create_task(self._report(stream, session))
+            try:
+                while True:
+                    async with asyncio.timeout(CONTROL_SILENCE_S):
+                        view = await stream.recv_message()
+                        if view is None:
+                            await stream.recv_trailing_metadata()
+                            return
+                    self._take(view, session)
+                    self.channel = dialled
+            finally:
+                reporter.cancel()
+
+    async def _report(
+        self, stream: grpclib.client.Stream, session: Session
+    ) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(STATUS_INTERVAL_S):
+                    await self.taken.wait()
+            await self._send(stream, session)
+
+    async def _send(
+        self, stream: grpclib.client.Stream, session: Session
+    ) -> None:
+        self.taken.clear()
+        sequence = session.send(time.monotonic())
+        await stream.send_message(
+            messages.EntryStatus(
+                self.settings.entry,
+                self.settings.data_centre,
+                self.state.version,
+                self.in_flight(),
+                sequence,
+            )
+        )
+
+    def _take(self, view: messages.ClusterView, session: Session) -> None:
+        """Take a view over; raise ProtocolError if it must not be."""
+        old = self.state
+        if view.version < old.version:
+            raise errors.ProtocolError(
+                f"version {view.version} is older than {old.version}"
+            )
+        if view.version > old.version and view.configuration is None:
+            raise errors.ProtocolError(
+                f"version {view.version} came without a configuration"
+            )
+        confirmed_s = session.confirmed_s(view.echo)
+        state = State(
+            view.version,
+            view.configuration or old.configuration,
+            old.backends if view.backends is None else view.backends,
+            view.entry_count,
+        )
+        self.state = state
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        if state.version > old.version:
+            self.taken.set()
+            logs.info(_log, "configuration_taken", version=state.version)
+        if (
+            state.version > old.version
+            or state.backends != old.backends
+            or state.entry_count != old.entry_count
+        ):
+            for callback in self.callbacks:
+                callback()
+
+
+class Watched:
+    """A backend server of the subset, its task and its last report."""
+
+    def __init__(self, view: messages.BackendView) -> None:
+        # Not used before its first report.
+        self.candidate = routing.Candidate(view, suspect=True)
+        self.report_s = float("-inf")
+        """When the last report arrived, on the monotonic clock."""
+        self.task: asyncio.Task[None] | None = None
+
+
+class Backends:
+    """One task for each backend server of this entry's subset.
+
+    The methods `acquire`, `release` and those that record observations may
+    be called from any thread; the lock guards the candidates.
+    """
+
+    def __init__(
+        self, entry_settings: settings.EntrySettings, control: Control
+    ) -> None:
+        self.settings = entry_settings
+        self.control = control
+        self.lock = threading.Lock()
+        self.by_service: dict[ids.ServiceId, tuple[Watched, ...]] = {}
+        self.watched: dict[messages.BackendView, Watched] = {}
+        self.callbacks: list[collections.abc.Callable[[], None]] = []
+        control.subscribe(self.update)
+
+    def subscribe(self, callback: collections.abc.Callable[[], None]) -> None:
+        """Call back on the loop whenever the slots may have changed."""
+        self.callbacks.append(callback)
+
+    def update(self) -> None:
+        """Start and stop tasks so that they match control's view."""
+        state = self.control.state
+        groups: dict[ids.ServiceId, dict[str, messages.BackendView]] = {}
+        for view in state.backends:
+            groups.setdefault(view.service, {})[view.backend] = view
+        by_service = {}
+        wanted: set[messages.BackendView] = set()
+        for service, views in groups.items():
+            size = routing.subset_size(
+                self.settings.subset_size, len(views), state.entry_count
+            )
+            names = routing.subset(self.settings.entry, views, size)
+            chosen = [views[name] for name in names]
+            wanted.update(chosen)
+            by_service[service] = tuple(self._start(view) for view in chosen)
+        for view in self.watched.keys() - wanted:
+            task = self.watched.pop(view).task
+            if task is not None:
+                task.cancel()
+        self.by_service = by_service
+        self._notify()
+
+    def slots(self) -> dict[ids.ServiceId, int]:
+        """Return the slots over all replicas, estimated from the subset."""
+        totals: dict[ids.ServiceId, int] = collections.Counter(
+            view.service for view in self.control.state.backends
+        )
+        result = {}
+        for service, watched in self.by_service.items():
+            known = [
+                each.candidate.load.slots
+                for each in watched
+                if each.report_s > 0 and each.candidate.serving
+            ]
+            if known:
+                mean = sum(known) / len(known)
+                result[service] = round(mean * totals[service])
+        return result
+
+    def acquire(
+        self, service: ids.ServiceId, call: routing.Call
+    ) -> routing.Candidate | None:
+        """Choose a backend server and count a call as in flight there."""
+        now_s = time.monotonic()
+        # The age is checked as well as the task's verdict, because the
+        # task has not run yet when this process resumes after a pause.
+        usable = [
+            watched.candidate
+            for watched in self.by_service.get(service, ())
+            if now_s - watched.report_s <= BACKEND_SILENCE_S
+        ]
+        with self.lock:
+            chosen = routing.choose(
+                self.settings.routing_policy, call, usable, now_s
+            )
+            if chosen is not None:
+                chosen.in_flight += 1
+            return chosen
+
+    def release(self, candidate: routing.Candidate) -> None:
+        """Count a call as no longer in flight."""
+        with self.lock:
+            candidate.in_flight -= 1
+
+    def record_connect_failure(self, candidate: routing.Candidate) -> None:
+        """Choose others until the next report arrives."""
+        with self.lock:
+            candidate.suspect = True
+
+    def record_first_token(
+        self, candidate: routing.Candidate, seconds: float
+    ) -> None:
+        """Record how long a stream's first events took."""
+        with self.lock:
+            candidate.record_first_token(seconds, time.monotonic())
+
+    def _start(self, view: messages.BackendView) -> Watched:
+        if view not in self.watched:
+            watched = self.watched[view] = Watched(view)
+            watched.task = asyncio.create_task(self._watch(watched))
+        return self.watched[view]
+
+    def _notify(self) -> None:
+        for callback in self.callbacks:
+            callback()
+
+    async def _watch(self, watched: Watched) -> None:
+        """Receive load reports until the task is cancelled."""
+        while True:
+            reported_s = watched.report_s
+            try:
+                await self._receive(watched)
+                reason = "stream ended"
+            except _FAILURES as error:
+                reason = str(error) or type(error).__name__
+            with self.lock:
+                known = not watched.candidate.suspect
+                watched.candidate.suspect = True
+            if known:
+                logs.info(
+                    _log,
+                    "backend_suspect",
+                    backend=watched.candidate.view.backend,
+                    reason=reason,
+                )
+            if watched.report_s == reported_s:
+                await asyncio.sleep(REDIAL_PAUSE_S)
+
+    async def _receive(self, watched: Watched) -> None:
+        candidate = watched.candidate
+        dialled = channel.dial(candidate.view.control_address)
+        try:
+            async with codec.BACKEND_WATCH.open(dialled) as stream:
+                async with asyncio.timeout(BACKEND_SILENCE_S):
+                    await stream.send_message(
+                        messages.BackendWatch(self.settings.entry), end=True
+                    )
+                while True:
+                    async with asyncio.timeout(BACKEND_SILENCE_S):
+                        report = await stream.recv_message()
+                        if report is None:
+                            await stream.recv_trailing_metadata()
+                            return
+                    self._record(watched, report)
+        finally:
+            dialled.close()
+
+    def _record(self, watched: Watched, report: messages.LoadReport) -> None:
+        now_s = time.monotonic()
+        candidate = watched.candidate
+        before = candidate.load.slots, candidate.serving, watched.report_s > 0
+        with self.lock:
+            candidate.record_report(report, now_s)
+            watched.report_s = now_s
+        if before != (candidate.load.slots, candidate.serving, True):
+            self._notify()
+
+
+def _address(message: str | None) -> str:
+    """Return the leader's address from a follower's refusal, or ""."""
+    host, _, port = (message or "").strip().rpartition(":")
+    return f"{host}:{port}" if host and port.isdigit() else ""
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -223,6 +223,8 @@
     data_centre: ids.DataCentreId
     confirmed_version: ids.ConfigurationVersion
     in_flight: int = 0
+    sequence: int = 0
+    """Counts the statuses on one stream, from 1."""
 
 
 class ClusterView(Message, frozen=True, omit_defaults=True):
@@ -236,6 +238,9 @@
     configuration: schema.Configuration | None = None
     backends: tuple[BackendView, ...] | None = None
     entry_count: int = 1
+    echo: int = 0
+    """Sequence of the last EntryStatus that control had received before
+    the quorum round began; 0 if control does not tell."""
 
 
 # Register of non-repeatable calls.
--- /dev/null
+++ b/src/flamingocleat/process/entry.py
@@ -0,0 +1,392 @@
+"""Program flamingocleat-entry: serves callers."""
+
+import argparse
+import asyncio
+import collections.abc
+import contextlib
+import itertools
+import logging
+import sys
+import threading
+import time
+import typing
+
+import cheroot.server
+import cheroot.wsgi
+import cherrypy
+import prometheus_client
+
+from flamingocleat import errors
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.connection import watch
+from flamingocleat.process import health
+from flamingocleat.process import logs
+from flamingocleat.process import settings
+from flamingocleat.process import shutdown
+from flamingocleat.request import attempt
+from flamingocleat.request import call as call_module
+from flamingocleat.request import problem
+from flamingocleat.request import relay
+from flamingocleat.version import document
+from flamingocleat.version import schema
+from flamingocleat.version import shares
+
+KEEP_ALIVE_S = 10
+"""Time for which a caller's connection may stay idle."""
+
+CONNECTIONS_PER_THREAD = 2
+
+STACK_BYTES = 262_144
+"""Stack of a thread: the default of 8 MB counts as address space only,
+but a bound on it keeps 640 threads small on any VM."""
+
+_EMPTY = schema.Configuration(operator="", data_centres=(), services=())
+
+_PAGES = ("/livez", "/readyz", "/metrics")
+
+_log = logs.logger("entry")
+
+_calls = prometheus_client.Counter(
+    "flamingocleat_entry_calls",
+    "Callers' requests by status of the response",
+    ["status"],
+)
+_in_flight = prometheus_client.Gauge(
+    "flamingocleat_entry_in_flight", "Callers' requests in flight"
+)
+
+
+class Gateway(cheroot.wsgi.Gateway_10):
+    """Tells the application the connection on which it answers."""
+
+    def get_environ(self) -> typing.Any:
+        """Return the WSGI environment with the caller's connection."""
+        environ: dict[str, typing.Any] = super().get_environ()
+        request = self.req
+        environ["flamingocleat.caller"] = relay.Caller(
+            request.conn.socket, lambda: bool(request.chunked_write)
+        )
+        return environ
+
+
+class Server(cheroot.wsgi.Server):
+    """HTTP server that counts a request until its response has ended."""
+
+    def __init__(
+        self, entry_settings: settings.EntrySettings, entry: "Entry"
+    ) -> None:
+        host, _, port = entry_settings.listen.rpartition(":")
+        super().__init__(
+            (host, int(port)),
+            entry.application(),
+            numthreads=entry_settings.threads,
+            request_queue_size=1024,
+            timeout=KEEP_ALIVE_S,
+        )
+        self.gateway = Gateway
+        self.max_request_header_size = entry_settings.max_header_bytes
+        self.max_request_body_size = entry_settings.max_body_bytes
+        self.keep_alive_conn_limit = (
+            entry_settings.threads * CONNECTIONS_PER_THREAD
+        )
+        self.entry = entry
+        self.ConnectionClass = _Connection
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Log what cheroot reports; a caller's lost connection is normal."""
+        error = sys.exc_info()[1]
+        if traceback and not isinstance(error, relay.BrokenStreamError):
+            logs.error(_log, "http_error", message=msg, reason=repr(error))
+        elif level >= logging.WARNING:
+            logs.warning(_log, "http_error", message=msg)
+
+
+class _Request(cheroot.server.HTTPRequest):
+    """Counts itself as in flight until the last byte has been written."""
+
+    numbers = itertools.count(1)
+
+    def respond(self) -> None:
+        entry = self.server.entry
+        with entry.shutdown.call(f"http-{next(self.numbers)}"):
+            if entry.draining:
+                self.close_connection = True
+            super().respond()
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
+class Entry:
+    """Serves callers' requests in the HTTP server's threads."""
+
+    def __init__(
+        self,
+        entry_settings: settings.EntrySettings,
+        control: watch.Control,
+        backends: watch.Backends,
+        stop: shutdown.Shutdown,
+    ) -> None:
+        self.settings = entry_settings
+        self.control = control
+        self.backends = backends
+        self.shutdown = stop
+        self.budget = attempt.Budget(entry_settings.retry_budget_ratio)
+        self.shares = shares.Shares(_EMPTY, 1)
+        backends.subscribe(self._update_shares)
+        self.health = health.Health()
+        self.health.ready_checks["configuration"] = control.stale
+        self.health.ready_checks["shutdown"] = self._stopping
+        self.draining = False
+        """True from SIGTERM on: responses end their connection."""
+        self.refusing = False
+        """True once the balancer has had its notice."""
+        _in_flight.set_function(lambda: len(stop.in_flight))
+
+    def application(self) -> collections.abc.Callable[..., typing.Any]:
+        """Return the CherryPy application."""
+        cherrypy.config.update(
+            {
+                "environment": "embedded",
+                "log.screen": False,
+                "log.access_file": "",
+                "log.error_file": "",
+            }
+        )
+        return cherrypy.Application(
+            None,
+            "",
+            {
+                "/": {
+                    "request.dispatch": self._dispatch,
+                    "request.process_request_body": False,
+                    "request.show_tracebacks": False,
+                    "response.stream": True,
+                    "tools.encode.on": False,
+                    "error_page.default": _error_page,
+                }
+            },
+        )
+
+    def handle(self) -> collections.abc.Iterable[bytes]:
+        """Answer CherryPy's current request."""
+        environ = cherrypy.serving.request.wsgi_environ
+        path = environ["REQUEST_URI"].partition("?")[0]
+        if path in _PAGES:
+            status, content_type, body = self.health.page(path)
+            return _respond(status, {"Content-Type": content_type}, body)
+        request = _request(environ)
+        request_ids = call_module.request_ids(request.headers)
+        headers: dict[str, str] = {"X-Request-Id": request_ids[0]}
+        try:
+            answer = self._answer(request, request_ids, environ)
+        except problem.Problem as error:
+            headers.update(error.headers())
+            # The rest of a refused body is not read.
+            headers["Connection"] = "close"
+            logs.info(
+                _log,
+                "call_refused",
+                request=request_ids[1],
+                status=error.status,
+                outcome=error.outcome.value,
+                reason=error,
+            )
+            return _respond(error.status, headers, error.body(request_ids[0]))
+        if isinstance(answer, messages.Answer):
+            if answer.content_type:
+                headers["Content-Type"] = answer.content_type
+            return _respond(answer.status, headers, answer.body)
+        headers["Content-Type"] = "text/event-stream"
+        headers["Cache-Control"] = "no-store"
+        return _respond(200, headers, answer)
+
+    def _answer(
+        self,
+        request: call_module.Request,
+        request_ids: tuple[ids.RequestId, ids.RequestId],
+        environ: dict[str, typing.Any],
+    ) -> messages.Answer | collections.abc.Iterator[bytes]:
+        configuration = self.control.state.configuration
+        reason = self._refusing() or self.control.stale()
+        if reason or configuration is None:
+            raise problem.unavailable(reason)
+        call = call_module.parse(
+            configuration,
+            request,
+            request_ids,
+            self.settings.max_body_bytes,
+            time.time(),
+        )
+        self.budget.record_request()
+        self._admit(call)
+        caller: relay.Caller = environ["flamingocleat.caller"]
+        attempts = attempt.Attempts(
+            self.settings, call, self.backends, self.budget, caller.socket
+        )
+        if not call.stream:
+            return typing.cast(messages.Answer, attempts.open(self._collect))
+        stream = relay.Stream(attempts)
+        cherrypy.serving.request.hooks.attach("on_end_request", stream.close)
+        first = stream.open()
+        if isinstance(first, messages.Answer):
+            return first
+        return relay.events(stream, first, caller)
+
+    def _admit(self, call: call_module.Call) -> None:
+        """Wait for a slot; it is given back when the response has ended."""
+        try:
+            ticket = self.shares.acquire(
+                call.customer.name,
+                call.service.name,
+                call.priority,
+                call.deadline_s,
+            )
+        except shares.AdmissionRefusedError as error:
+            if not call.remaining_s():
+                raise problem.too_late(problem.Outcome.NOT_RUN) from error
+            raise problem.Problem(
+                429,
+                "Too many requests",
+                error.reason,
+                retry_after_s=error.retry_after_s,
+            ) from error
+        cherrypy.serving.request.hooks.attach(
+            "on_end_request", lambda: self.shares.release(ticket)
+        )
+
+    def _update_shares(self) -> None:
+        state = self.control.state
+        if state.configuration is not None:
+            self.shares.update(
+                state.configuration, state.entry_count, self.backends.slots()
+            )
+
+    def _collect(self, reply: attempt.Reply) -> messages.Answer:
+        with contextlib.closing(reply):
+            return reply.collect(self.settings.max_answer_bytes)
+
+    def _dispatch(self, path: str) -> None:
+        """Send every request to one handler (CherryPy's dispatcher)."""
+        request = cherrypy.serving.request
+        request.config = {**cherrypy.config, **request.app.config["/"]}
+        request.handler = self.handle
+
+    def _stopping(self) -> str:
+        return "shutting down" if self.draining else ""
+
+    def _refusing(self) -> str:
+        return "this entry is shutting down" if self.refusing else ""
+
+
+def main(argv: collections.abc.Sequence[str] | None = None) -> int:
+    """Run the program; return its exit status."""
+    parser = argparse.ArgumentParser(
+        prog="flamingocleat-entry", description=__doc__
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    parser.add_argument(
+        "--check", action="store_true", help="only check the settings"
+    )
+    options = parser.parse_args(argv)
+    try:
+        entry_settings = document.load(options.settings, settings.EntrySettings)
+    except errors.DocumentError as error:
+        print(error, file=sys.stderr)
+        return 2
+    if options.check:
+        return 0
+    logs.set_up("entry", entry_settings.log_level)
+    threading.stack_size(STACK_BYTES)
+    return asyncio.run(run(entry_settings))
+
+
+def build(
+    entry_settings: settings.EntrySettings, stop: shutdown.Shutdown
+) -> Entry:
+    """Return the parts of an entry, on the running loop."""
+    control = watch.Control(entry_settings, lambda: len(stop.in_flight))
+    backends = watch.Backends(entry_settings, control)
+    return Entry(entry_settings, control, backends, stop)
+
+
+async def run(entry_settings: settings.EntrySettings) -> int:
+    """Serve until SIGTERM; return the exit status."""
+    stop = shutdown.Shutdown()
+    stop.install()
+    entry = build(entry_settings, stop)
+    server = Server(entry_settings, entry)
+    await asyncio.to_thread(server.prepare)
+    serving = asyncio.create_task(asyncio.to_thread(server.serve))
+    following = asyncio.create_task(entry.control.run())
+    logs.info(_log, "started", listen=entry_settings.listen)
+    requested = asyncio.create_task(stop.requested.wait())
+    await asyncio.wait(
+        {requested, serving, following},
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    failed = not requested.done()
+    entry.draining = True
+    if not failed:
+        await asyncio.sleep(entry_settings.drain_notice_s)
+        entry.refusing = True
+        await stop.wait_idle()
+    await asyncio.to_thread(server.stop)
+    logs.info(_log, "stopped")
+    return 1 if failed else 0
+
+
+def _request(environ: dict[str, typing.Any]) -> call_module.Request:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    for name in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+        if name in environ:
+            headers[name.replace("_", "-").lower()] = environ[name]
+    return call_module.Request(
+        environ["REQUEST_METHOD"],
+        environ["REQUEST_URI"],
+        headers,
+        environ["wsgi.input"],
+        environ["wsgi.input_terminated"],
+    )
+
+
+def _respond(
+    status: int,
+    headers: dict[str, str],
+    body: bytes | collections.abc.Iterator[bytes],
+) -> collections.abc.Iterable[bytes]:
+    response = cherrypy.serving.response
+    response.status = status
+    response.headers.pop("Server", None)
+    response.headers.update(headers)
+    _calls.labels(status=str(status)).inc()
+    if isinstance(body, bytes):
+        response.headers["Content-Length"] = str(len(body))
+        return [body]
+    return body
+
+
+def _error_page(
+    status: str, message: str, traceback: str, version: str
+) -> bytes:
+    """Tell of a fault in the entry itself, without its particulars."""
+    error = problem.Problem(
+        int(status[:3]),
+        "Internal error",
+        "the entry failed to handle the request",
+        problem.Outcome.UNKNOWN,
+    )
+    cherrypy.serving.response.headers.update(error.headers())
+    return error.body(ids.RequestId(""))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -48,10 +48,27 @@
     """Requests served at once; the size to design for needs some 530."""
     subset_size: int = 16
     """Replicas per service that this entry routes to."""
+    routing_policy: str = "weighted"
     drain_notice_s: float = 5.0
     """Seconds after SIGTERM until the balancer has noticed."""
     max_header_bytes: int = 16_384
+    max_body_bytes: int = 16_777_216
+    """Bound for all services; each service declares its own below it."""
     retry_budget_ratio: float = 0.1
+    connect_timeout_s: float = 1.0
+    """Bound for opening a connection to an agent."""
+    first_byte_timeout_s: float = 15.0
+    """Bound from a stream's dispatch to its first byte; queueing and the
+    prompt's processing take place in this time."""
+    silence_timeout_s: float = 5.0
+    """Bound on the time between bytes of a stream. Tokens are due every
+    39 ms at the 95th percentile, so this is a dead connection."""
+    resume_wait_s: float = 3.0
+    """Time to look for a replica that can continue a broken stream."""
+    max_answer_bytes: int = 16_777_216
+    """Bound for answers that are collected before they are sent."""
+    caller_timeout_s: float = 30.0
+    """Bound on the time that a caller accepts no bytes."""
 
 
 class AgentSettings(
--- /dev/null
+++ b/src/flamingocleat/request/attempt.py
@@ -0,0 +1,424 @@
+"""Attempts of one call at agents, within retry budget and deadline."""
+
+import collections.abc
+import contextlib
+import enum
+import http.client
+import select
+import socket
+import struct
+import threading
+import time
+import typing
+
+import urllib3
+import urllib3.connection
+import urllib3.exceptions
+
+from flamingocleat import errors
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.connection import watch
+from flamingocleat.process import logs
+from flamingocleat.process import settings
+from flamingocleat.request import call as call_module
+from flamingocleat.request import problem
+from flamingocleat.version import routing
+
+RESERVE = 10
+"""Retries allowed before the ratio applies, for an entry just started."""
+
+BUDGET_LIMIT = 100.0
+"""Retries that a quiet time can save up."""
+
+RESUME_PAUSE_S = 0.1
+RESUME_PAUSE_MAX_S = 1.0
+
+FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
+"""What urllib3 and the sockets below it raise for a failed connection."""
+
+_log = logs.logger("attempt")
+
+
+class Ran(enum.Enum):
+    """Values of the header Flamingocleat-Outcome."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class AttemptError(errors.FlamingocleatError):
+    """An attempt gave no answer."""
+
+    def __init__(
+        self,
+        outcome: problem.Outcome,
+        reason: str,
+        retry_after_s: float = 0,
+        sent: bool = True,
+    ) -> None:
+        super().__init__(reason)
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+        self.sent = sent
+        """False if no byte of the request left this process."""
+
+
+class CallerGoneError(errors.FlamingocleatError):
+    """The caller has closed its connection."""
+
+
+class Budget:
+    """Limits retries to a share of the requests; thread-safe.
+
+    After n requests at most max(RESERVE, ratio * n) retries were made.
+    """
+
+    def __init__(self, ratio: float) -> None:
+        self.ratio = ratio
+        self.tokens = float(RESERVE)
+        self.requests_until_ratio = RESERVE / ratio if ratio > 0 else 0.0
+        self.lock = threading.Lock()
+
+    def record_request(self) -> None:
+        """Count a caller's request."""
+        with self.lock:
+            if self.requests_until_ratio >= 1:
+                self.requests_until_ratio -= 1
+            else:
+                self.tokens = min(BUDGET_LIMIT, self.tokens + self.ratio)
+
+    def withdraw(self) -> bool:
+        """Return whether a retry may be made, and count it if so."""
+        with self.lock:
+            if self.tokens < 1:
+                return False
+            self.tokens -= 1
+            return True
+
+
+class Reply:
+    """An agent's response of which the head was read and checked."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        response: urllib3.response.BaseHTTPResponse,
+        method: str,
+        resources: contextlib.ExitStack,
+    ) -> None:
+        self.sock = sock
+        self.method = method
+        self.response = response
+        self.resources = resources
+        self.status = response.status
+        self.content_type = response.headers.get("Content-Type", "")
+
+    def close(self) -> None:
+        """Close the connection; an agent cancels work in progress."""
+        self.resources.close()
+
+    def set_silence_bound(self, bound_s: float) -> None:
+        """Make reads fail after bound_s seconds without a byte.
+
+        The kernel's receive timeout spares the poll(2) that Python makes
+        before each read of a socket that has its own timeout.
+        """
+        self.sock.settimeout(None)
+        self.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval(bound_s)
+        )
+
+    def reader(self) -> collections.abc.Callable[[int], bytes]:
+        """Return the cheapest read of the bytes that have arrived.
+
+        A close-delimited body is read from the buffer below the response.
+        """
+        body = getattr(self.response, "_fp", None)
+        if body is not None and not body.chunked and body.length is None:
+            return typing.cast(
+                collections.abc.Callable[[int], bytes], body.fp.read1
+            )
+        return self.response.read1
+
+    def collect(self, limit: int) -> messages.Answer:
+        """Return the whole answer; raise AttemptError if it is cut."""
+        headers = self.response.headers
+        empty = self.method == "HEAD" or self.status in (204, 304)
+        if not empty and not (
+            "Content-Length" in headers
+            or headers.get("Transfer-Encoding", "").lower() == "chunked"
+        ):
+            raise AttemptError(
+                problem.Outcome.UNKNOWN, "answer does not tell its length"
+            )
+        try:
+            body = self.response.read(limit + 1, decode_content=False)
+            if len(body) <= limit and not empty:
+                body += self.response.read(1, decode_content=False)
+        except FAILURES as error:
+            raise AttemptError(
+                problem.Outcome.UNKNOWN, f"answer was cut: {error}"
+            ) from error
+        if len(body) > limit:
+            raise AttemptError(
+                problem.Outcome.UNKNOWN, f"answer exceeds {limit} bytes"
+            )
+        return messages.Answer(self.status, self.content_type, body)
+
+
+class Attempts:
+    """The attempts of one call, and what is known of their outcome."""
+
+    def __init__(
+        self,
+        entry_settings: settings.EntrySettings,
+        call: call_module.Call,
+        backends: watch.Backends,
+        budget: Budget,
+        caller: socket.socket | None = None,
+    ) -> None:
+        self.settings = entry_settings
+        self.call = call
+        self.backends = backends
+        self.budget = budget
+        self.caller = caller
+        """Watched while an answer is awaited; None: not watched."""
+        self.made = 0
+        self.tried: set[str] = set()
+        """Backends that have failed this call."""
+        self.last: routing.Candidate | None = None
+        self.last_s = 0.0
+        self.outcome = problem.Outcome.NOT_RUN
+        self.retry_after_s = 0.0
+        self.reason = "no backend server is serving"
+
+    def open(
+        self,
+        use: collections.abc.Callable[[Reply], typing.Any],
+        offset: int = 0,
+        free: bool = False,
+    ) -> typing.Any:
+        """Make attempts until use(reply) succeeds; return its result.
+
+        use raises AttemptError for a reply that is of no use. The first
+        attempt counts against the budget unless it is the call's first
+        or free is set. Raise Problem if no attempt may be made.
+        """
+        while True:
+            candidate = self.choose()
+            if candidate is None:
+                raise self.refusal()
+            if self.made and not free and not self.budget.withdraw():
+                self.backends.release(candidate)
+                self.reason += "; the retry budget is used up"
+                raise self.refusal()
+            self.made += 1
+            self.last = candidate
+            self.last_s = time.monotonic()
+            free = False
+            try:
+                reply = self.send(candidate, offset)
+                try:
+                    return use(reply)
+                except BaseException:
+                    reply.close()
+                    raise
+            except AttemptError as error:
+                self.record(candidate, error)
+                if not self.may_retry(error):
+                    raise self.refusal() from error
+
+    def choose(self) -> routing.Candidate | None:
+        """Choose a backend server that has not failed this call."""
+        if not self.call.remaining_s():
+            return None
+        return self.backends.acquire(
+            self.call.service.name,
+            routing.Call(
+                self.settings.data_centre,
+                self.call.prefixes,
+                frozenset(self.tried),
+            ),
+        )
+
+    def send(
+        self,
+        candidate: routing.Candidate,
+        offset: int = 0,
+        permit: ids.PermitId | None = None,
+    ) -> Reply:
+        """Make one attempt over a new connection.
+
+        The candidate comes from `choose`; it is released with the reply.
+        """
+        with contextlib.ExitStack() as resources:
+            resources.callback(self.backends.release, candidate)
+            connection = _connect(self.settings, self.call, candidate)
+            resources.callback(connection.close)
+            # The response takes the socket over if it ends the connection.
+            sock = connection.sock
+            headers = _headers(self.call, candidate.view, offset, permit)
+            try:
+                connection.request(
+                    self.call.method,
+                    self.call.path,
+                    self.call.body or None,
+                    headers,
+                    preload_content=False,
+                    decode_content=False,
+                )
+                self._await_head(sock)
+                response = connection.getresponse()
+            except FAILURES as error:
+                raise AttemptError(
+                    problem.Outcome.UNKNOWN, f"connection failed: {error}"
+                ) from error
+            resources.callback(response.close)
+            _check_head(self.call, response)
+            return Reply(sock, response, self.call.method, resources.pop_all())
+
+    def record(self, candidate: routing.Candidate, error: AttemptError) -> None:
+        """Remember a failed attempt."""
+        self.tried.add(candidate.view.backend)
+        if not error.sent:
+            self.backends.record_connect_failure(candidate)
+        self.reason = str(error)
+        self.retry_after_s = max(self.retry_after_s, error.retry_after_s)
+        if error.outcome is problem.Outcome.UNKNOWN:
+            self.outcome = error.outcome
+        logs.info(
+            _log,
+            "attempt_failed",
+            request=self.call.request_id,
+            backend=candidate.view.backend,
+            outcome=error.outcome.value,
+            reason=error,
+        )
+
+    def record_first_token(self) -> None:
+        """Record the time from the last dispatch to the first events."""
+        if self.last is not None:
+            elapsed_s = time.monotonic() - self.last_s
+            self.backends.record_first_token(self.last, elapsed_s)
+
+    def tried_last(self) -> None:
+        """Prefer other backend servers to the one used last."""
+        if self.last is not None:
+            self.tried.add(self.last.view.backend)
+
+    def may_retry(self, error: AttemptError) -> bool:
+        """Return whether another attempt could repeat no work that counts."""
+        not_run = error.outcome is problem.Outcome.NOT_RUN
+        return self.call.remaining_s() > 0 and (self.call.repeatable or not_run)
+
+    def refusal(self) -> problem.Problem:
+        """Return the Problem that tells what is known."""
+        if not self.call.remaining_s():
+            return problem.too_late(self.outcome)
+        if self.outcome is problem.Outcome.NOT_RUN:
+            return problem.unavailable(self.reason, self.retry_after_s or 1)
+        return problem.unknown(self.reason, 1 if self.call.repeatable else 0)
+
+    def _await_head(self, sock: socket.socket) -> None:
+        """Wait for the first byte of the answer, or the caller's end."""
+        bound_s = self.call.remaining_s()
+        if self.call.stream:
+            bound_s = min(bound_s, self.settings.first_byte_timeout_s)
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        if self.caller is not None and self.call.repeatable:
+            # The flag is reported without reading, so that a pipelined
+            # request in the buffer is not taken for the caller's end.
+            poll.register(self.caller, select.POLLRDHUP)
+        ready = {number for number, _ in poll.poll(bound_s * 1000)}
+        if sock.fileno() in ready:
+            sock.settimeout(max(0.001, self.call.remaining_s()))
+        elif ready:
+            raise CallerGoneError("the caller closed its connection")
+        else:
+            raise TimeoutError(f"no answer within {bound_s:.1f} s")
+
+
+def timeval(seconds: float) -> bytes:
+    """Return a struct timeval for socket options; 0 would mean no bound."""
+    whole = int(max(seconds, 0.001))
+    return struct.pack("ll", whole, int((max(seconds, 0.001) - whole) * 1e6))
+
+
+def _connect(
+    entry_settings: settings.EntrySettings,
+    call: call_module.Call,
+    candidate: routing.Candidate,
+) -> urllib3.connection.HTTPConnection:
+    """Open a new connection, so that none that went silent is used."""
+    host, _, port = candidate.view.data_address.rpartition(":")
+    bound_s = min(entry_settings.connect_timeout_s, call.remaining_s())
+    connection = urllib3.connection.HTTPConnection(
+        host, int(port), timeout=max(0.001, bound_s)
+    )
+    try:
+        connection.connect()
+    except FAILURES as error:
+        connection.close()
+        raise AttemptError(
+            problem.Outcome.NOT_RUN, f"cannot connect: {error}", sent=False
+        ) from error
+    connection.sock.settimeout(max(0.001, call.remaining_s()))
+    return connection
+
+
+def _headers(
+    call: call_module.Call,
+    view: messages.BackendView,
+    offset: int,
+    permit: ids.PermitId | None,
+) -> dict[str, str]:
+    headers = {
+        "X-Request-Id": call.request_id,
+        "Flamingocleat-Fence": str(view.fence),
+        "Flamingocleat-Incarnation": view.incarnation,
+        "Flamingocleat-Customer": call.customer.name,
+        "Flamingocleat-Deadline-Ms": str(int(call.remaining_s() * 1000)),
+        "Flamingocleat-Priority": str(call.priority),
+        "Flamingocleat-Resume-Offset": str(offset) if offset else "",
+        "Flamingocleat-Permit": permit or "",
+        "Idempotency-Key": call.key,
+        "Content-Type": call.content_type,
+        "Accept": call.accept,
+        "traceparent": call.traceparent,
+    }
+    return {name: value for name, value in headers.items() if value}
+
+
+def _check_head(
+    call: call_module.Call, response: urllib3.response.BaseHTTPResponse
+) -> None:
+    """Raise AttemptError unless this is the answer to this very call."""
+    echoed = response.headers.get("X-Request-Id", "")
+    if echoed != call.request_id:
+        logs.error(
+            _log, "foreign_answer", request=call.request_id, echoed=echoed
+        )
+        raise AttemptError(
+            problem.Outcome.UNKNOWN, "answer belongs to another request"
+        )
+    outcome = response.headers.get("Flamingocleat-Outcome", "")
+    if outcome == Ran.NOT_RUN.value:
+        retry_after = response.headers.get("Retry-After", "")
+        raise AttemptError(
+            problem.Outcome.NOT_RUN,
+            f"the agent refused the call with status {response.status}",
+            float(retry_after) if retry_after.isdigit() else 0.0,
+        )
+    if outcome != Ran.RAN.value:
+        raise AttemptError(
+            problem.Outcome.UNKNOWN,
+            f"the agent cannot tell the outcome (status {response.status})",
+        )
--- /dev/null
+++ b/src/flamingocleat/request/problem.py
@@ -0,0 +1,93 @@
+"""Refusals and failures told to callers as RFC 9457 documents."""
+
+import enum
+import math
+
+import msgspec
+
+from flamingocleat import errors
+from flamingocleat import ids
+
+CONTENT_TYPE = "application/problem+json"
+
+
+class Outcome(enum.Enum):
+    """Whether a call that got no answer was run."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Document(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a refusal; `outcome` and `request_id` are extensions."""
+
+    title: str
+    status: int
+    detail: str
+    outcome: Outcome
+    request_id: str = ""
+
+
+class Problem(errors.FlamingocleatError):
+    """A call ends without an answer of the backend server.
+
+    retry_after_s is 0 where a repeat of the same request cannot help.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        title: str,
+        detail: str,
+        outcome: Outcome = Outcome.NOT_RUN,
+        retry_after_s: float = 0,
+    ) -> None:
+        super().__init__(f"{title}: {detail}")
+        self.status = status
+        self.title = title
+        self.detail = detail
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+
+    def body(self, request_id: ids.RequestId) -> bytes:
+        """Return the document as JSON."""
+        return msgspec.json.encode(
+            Document(
+                self.title, self.status, self.detail, self.outcome, request_id
+            )
+        )
+
+    def headers(self) -> dict[str, str]:
+        """Return the response headers that belong to the document."""
+        headers = {"Content-Type": CONTENT_TYPE}
+        if self.status == 401:
+            headers["WWW-Authenticate"] = "Bearer"
+        if self.retry_after_s:
+            headers["Retry-After"] = str(math.ceil(self.retry_after_s))
+        return headers
+
+
+def malformed(detail: str) -> Problem:
+    """Refuse a request that can never be accepted as it is."""
+    return Problem(400, "Malformed request", detail)
+
+
+def unavailable(detail: str, retry_after_s: float = 1) -> Problem:
+    """Refuse a call that was not run and may be sent again."""
+    return Problem(
+        503, "Service unavailable", detail, retry_after_s=retry_after_s
+    )
+
+
+def unknown(detail: str, retry_after_s: float = 0) -> Problem:
+    """Report a call of which it is not known whether it was run."""
+    return Problem(
+        504, "Outcome unknown", detail, Outcome.UNKNOWN, retry_after_s
+    )
+
+
+def too_late(outcome: Outcome) -> Problem:
+    """Report that the caller's time limit has passed."""
+    return Problem(
+        504, "Deadline exceeded", "the time limit has passed", outcome
+    )
