--- a/examples/local.py
+++ b/examples/local.py
@@ -339,15 +339,16 @@
         """Submit a configuration through any voter and return the reply."""
         for _ in range(100):
             for address in self.operators_addresses:
-                reply = self._try_submit(address, text, base_version, change_id)
+                reply = self.try_submit(address, text, base_version, change_id)
                 if reply is not None and reply.status < 500:
                     return {"status": reply.status, **json.loads(reply.data)}
             time.sleep(0.1)
         raise LauncherError("no voter accepted the configuration")
 
-    def _try_submit(
+    def try_submit(
         self, address: str, text: str, base_version: int, change_id: str
     ) -> urllib3.BaseHTTPResponse | None:
+        """Submit a configuration through one voter; None if it is away."""
         try:
             return self.http.request(
                 "POST",
