--- a/src/flamingocleat/__init__.py
+++ b/src/flamingocleat/__init__.py
@@ -17,7 +17,7 @@
     "Storage": "flamingocleat.process.storage",
 }
 
-__all__ = sorted(_EXPORTS)  # noqa: PLE0605
+__all__ = sorted(_EXPORTS)
 
 
 def __getattr__(name: str) -> typing.Any:
--- a/src/flamingocleat/process/storage.py
+++ b/src/flamingocleat/process/storage.py
@@ -56,6 +56,17 @@
     data: bytes = b""
 
 
+class LogStart(msgspec.Struct, frozen=True):
+    """First record of the log file: the last entry before it.
+
+    Without it, a missing snapshot or an emptied log file would pass for a
+    new voter.
+    """
+
+    index: int = 0
+    term: int = 0
+
+
 class Storage:
     """Holds a voter's durable state; each call returns after fsync.
 
@@ -82,9 +93,9 @@
         self.entries: list[messages.LogEntry] = []
         self.offsets: list[int] = []
         self.end = 0
-        self._read_log()
+        log_start = self._read_log()
         self.file = _open_log(self.folder)
-        self._finish_compaction()
+        self._finish_compaction(log_start)
 
     @classmethod
     def create(cls, folder: str, voter: ids.VoterId) -> "Storage":
@@ -96,7 +107,7 @@
                 f"{folder} is not empty; a new voter needs a new folder"
             )
         _sync_folder(path.parent)
-        _replace(path, _LOG_FILE, b"")
+        _replace(path, _LOG_FILE, frame(_encoder.encode(LogStart())))
         _replace(path, _VOTE_FILE, frame(_encoder.encode(Vote())))
         # Written last: without it, a folder left by a crash in here is
         # refused by open.
@@ -169,8 +180,7 @@
         if position >= len(self.entries):
             return
         with self._writing():
-            self.file.truncate(self.offsets[position])
-            self.file.seek(0, os.SEEK_END)
+            os.ftruncate(self.file.fileno(), self.offsets[position])
             os.fsync(self.file.fileno())
             self.end = self.offsets[position]
             del self.entries[position:]
@@ -188,7 +198,7 @@
             snapshot = Snapshot(index, term, data)
             payload = _encoder.encode(snapshot)
             _replace(self.folder, _SNAPSHOT_FILE, frame(payload))
-            kept = self._entries_after(snapshot)
+            kept = self._entries_after(self.snapshot.index, snapshot)
             self.snapshot = snapshot
             self._rewrite_log(kept)
 
@@ -207,42 +217,43 @@
                     f"entry {entry.index} given, {expected} expected"
                 )
 
-    def _entries_after(self, snapshot: Snapshot) -> list[messages.LogEntry]:
-        if not self.entries:
-            return []
-        position = snapshot.index - self.entries[0].index
-        if position == -1:
+    def _entries_after(
+        self, start: int, snapshot: Snapshot
+    ) -> list[messages.LogEntry]:
+        """Return entries to keep, of those that follow index start."""
+        position = snapshot.index - start
+        if position == 0:
             return list(self.entries)
-        if not 0 <= position < len(self.entries):
+        if position > len(self.entries):
             return []
-        if self.entries[position].term != snapshot.term:
+        if self.entries[position - 1].term != snapshot.term:
             return []
-        return self.entries[position + 1 :]
+        return self.entries[position:]
 
     def _rewrite_log(self, kept: list[messages.LogEntry]) -> None:
-        frames = [frame(_encoder.encode(entry)) for entry in kept]
-        _replace(self.folder, _LOG_FILE, b"".join(frames))
+        start = LogStart(self.snapshot.index, self.snapshot.term)
+        records = [frame(_encoder.encode(item)) for item in (start, *kept)]
+        _replace(self.folder, _LOG_FILE, b"".join(records))
         self.file.close()
         self.file = _open_log(self.folder)
         self.entries = kept
         self.offsets = []
-        self.end = 0
-        for record in frames:
+        self.end = len(records[0])
+        for record in records[1:]:
             self.offsets.append(self.end)
             self.end += len(record)
 
-    def _finish_compaction(self) -> None:
+    def _finish_compaction(self, log_start: LogStart) -> None:
         """Drop entries left by a crash after the snapshot was renamed."""
-        if not self.entries:
-            return
-        first = self.entries[0].index
-        if first > self.snapshot.index + 1:
+        if log_start.index > self.snapshot.index:
             raise errors.StorageError(
-                f"{self.folder / _LOG_FILE}: offset 0: first entry is "
-                f"{first}, but the snapshot ends at {self.snapshot.index}"
+                f"{self.folder / _LOG_FILE}: offset 0: log starts after "
+                f"entry {log_start.index}, but the snapshot ends at "
+                f"{self.snapshot.index}"
             )
-        if first <= self.snapshot.index:
-            self._rewrite_log(self._entries_after(self.snapshot))
+        if log_start.index < self.snapshot.index:
+            kept = self._entries_after(log_start.index, self.snapshot)
+            self._rewrite_log(kept)
 
     def _read_single(self, name: str, record_type: type) -> typing.Any:
         path = self.folder / name
@@ -255,25 +266,30 @@
             )
         return _decode(path, 0, payload, record_type)
 
-    def _read_log(self) -> None:
+    def _read_log(self) -> LogStart:
         path = self.folder / _LOG_FILE
         data = _read(path)
-        offset = 0
+        payload, offset = _parse(path, data, 0)
+        if payload is None:
+            raise errors.StorageError(f"{path}: offset 0: no whole record")
+        log_start = _decode(path, 0, payload, LogStart)
         while offset < len(data):
             payload, end = _parse(path, data, offset)
             if payload is None:
                 self._cut_tail(path, offset, len(data))
                 break
             entry = _decode(path, offset, payload, messages.LogEntry)
-            if self.entries and entry.index != self.entries[-1].index + 1:
+            expected = log_start.index + len(self.entries) + 1
+            if entry.index != expected:
                 raise errors.StorageError(
-                    f"{path}: offset {offset}: entry {entry.index} "
-                    f"follows entry {self.entries[-1].index}"
+                    f"{path}: offset {offset}: entry {entry.index} found, "
+                    f"{expected} expected"
                 )
             self.entries.append(entry)
             self.offsets.append(offset)
             offset = end
         self.end = offset
+        return log_start
 
     def _cut_tail(self, path: pathlib.Path, offset: int, size: int) -> None:
         logs.warning(
@@ -284,7 +300,7 @@
             bytes=size - offset,
         )
         with path.open("r+b") as file:
-            file.truncate(offset)
+            os.ftruncate(file.fileno(), offset)
             os.fsync(file.fileno())
 
 
@@ -385,7 +401,7 @@
     with temporary.open("wb", buffering=0) as file:
         _write(file.fileno(), data)
         os.fsync(file.fileno())
-    temporary.replace(folder / name)
+    os.replace(temporary, folder / name)
     _sync_folder(folder)
 
 
