Prove the register and the machine

The register's state machine found a fault: a claim that arrived late with a permit cancelled before the last one brought that permit back, so the key stayed pending on a permit that its agent had voided. Ruled out: a duplicate run, as the agent refuses a voided permit. The record now remembers up to 16 cancelled permits; the state machine passes.

--- a/src/flamingocleat/version/register.py
+++ b/src/flamingocleat/version/register.py
@@ -22,6 +22,9 @@
 MAX_ANSWERS_BYTES = 32 * 1024 * 1024
 """Total of the answers kept, against the 64 MB that a voter may use."""
 
+MAX_CANCELLED_PERMITS = 16
+"""Cancelled permits remembered for each key, oldest dropped first."""
+
 # Other spellings of a UUID would make two keys out of one.
 _KEY = re.compile(
     r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
@@ -41,6 +44,8 @@
     address: str
     state: messages.ClaimState
     answer: messages.Answer | None = None
+    cancelled: tuple[ids.PermitId, ...] = ()
+    """Permits that a claim that arrives late must not bring back."""
 
 
 class RegisterState(msgspec.Struct):
@@ -169,7 +174,10 @@
             if same_agent:
                 return _reply(record.state, record)
             return _reply(_seen(record), record)
-        if record.state is messages.ClaimState.CANCELLED:
+        if (
+            record.state is messages.ClaimState.CANCELLED
+            and request.permit not in record.cancelled
+        ):
             record.permit = request.permit
             record.vm = request.vm
             record.incarnation = request.incarnation
@@ -182,7 +190,10 @@
         if record.state is messages.ClaimState.ANSWERED:
             return
         if answer is None:
-            record.state = messages.ClaimState.CANCELLED
+            if record.state is messages.ClaimState.CLAIMED:
+                record.state = messages.ClaimState.CANCELLED
+                cancelled = (*record.cancelled, record.permit)
+                record.cancelled = cancelled[-MAX_CANCELLED_PERMITS:]
             return
         # An answer also overrides a cancellation of the same permit: it
         # proves that the call ran, and the key must not be claimed anew.
