--- a/src/flamingocleat/connection/watch.py
+++ b/src/flamingocleat/connection/watch.py
@@ -33,7 +33,7 @@
 
 _log = logs.logger("watch")
 
-_FAILURES = (
+FAILURES = (
     grpclib.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
@@ -154,7 +154,7 @@
             reason = f"{error.status.name} {error.message}"
             if error.status is grpclib.const.Status.FAILED_PRECONDITION:
                 hint = _address(error.message)
-        except _FAILURES as error:
+        except FAILURES as error:
             reason = str(error) or type(error).__name__
         finally:
             self.channel = None
@@ -365,7 +365,7 @@
             try:
                 await self._receive(watched)
                 reason = "stream ended"
-            except _FAILURES as error:
+            except FAILURES as error:
                 reason = str(error) or type(error).__name__
             with self.lock:
                 known = not watched.candidate.suspect
--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -26,9 +26,11 @@
 from flamingocleat.process import shutdown
 from flamingocleat.request import attempt
 from flamingocleat.request import call as call_module
+from flamingocleat.request import claim
 from flamingocleat.request import problem
 from flamingocleat.request import relay
 from flamingocleat.version import document
+from flamingocleat.version import routing
 from flamingocleat.version import schema
 from flamingocleat.version import shares
 
@@ -136,6 +138,7 @@
         self.backends = backends
         self.shutdown = stop
         self.budget = attempt.Budget(entry_settings.retry_budget_ratio)
+        self.register = claim.Register(control, stop.loop)
         self.shares = shares.Shares(_EMPTY, 1)
         backends.subscribe(self._update_shares)
         self.health = health.Health()
@@ -147,7 +150,7 @@
         """True once the balancer has had its notice."""
         _in_flight.set_function(lambda: len(stop.in_flight))
 
-    def application(self) -> collections.abc.Callable[..., typing.Any]:
+    def application(self) -> typing.Any:
         """Return the CherryPy application."""
         cherrypy.config.update(
             {
@@ -157,7 +160,7 @@
                 "log.error_file": "",
             }
         )
-        return cherrypy.Application(
+        application = cherrypy.Application(
             None,
             "",
             {
@@ -171,6 +174,9 @@
                 }
             },
         )
+        # This program logs calls itself; metrics count the others.
+        application.log.access_log.disabled = True
+        return application
 
     def handle(self) -> collections.abc.Iterable[bytes]:
         """Answer CherryPy's current request."""
@@ -228,6 +234,8 @@
         attempts = attempt.Attempts(
             self.settings, call, self.backends, self.budget, caller.socket
         )
+        if call.key and not call.repeatable:
+            return claim.Claimed(attempts, self.register).run()
         if not call.stream:
             return typing.cast(messages.Answer, attempts.open(self._collect))
         stream = relay.Stream(attempts)
@@ -298,6 +306,13 @@
     except errors.DocumentError as error:
         print(error, file=sys.stderr)
         return 2
+    if entry_settings.routing_policy not in routing.POLICIES:
+        known = ", ".join(sorted(routing.POLICIES))
+        print(
+            f"{options.settings}: unknown routing_policy (use one of {known})",
+            file=sys.stderr,
+        )
+        return 2
     if options.check:
         return 0
     logs.set_up("entry", entry_settings.log_level)
@@ -378,6 +393,8 @@
     status: str, message: str, traceback: str, version: str
 ) -> bytes:
     """Tell of a fault in the entry itself, without its particulars."""
+    reason = sys.exc_info()[1]
+    logs.error(_log, "handler_failed", status=status, reason=repr(reason))
     error = problem.Problem(
         int(status[:3]),
         "Internal error",
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -14,6 +14,7 @@
 import grpclib
 import grpclib.const
 import grpclib.server
+import msgspec
 
 from flamingocleat import ids
 from flamingocleat import messages
@@ -350,19 +351,54 @@
             self.script(received)
 
 
-class Program:
-    """An entry with its loop, as the program runs it."""
+class Caller:
+    """A caller of an entry at a free port."""
 
-    def __init__(self, loop: Loop, control: str, **changes: typing.Any) -> None:
-        self.loop = loop
+    def __init__(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
+
+    def request(
+        self,
+        method: str = "POST",
+        path: str = "/v1/chat/completions",
+        body: typing.Any = b"",
+        key: str = KEY,
+        **headers: str,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Return status, headers and body; a cut body raises."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.port, timeout=PATIENCE_S
+        )
+        fields = {"Authorization": f"Bearer {key}"}
+        fields.update({k.replace("_", "-"): v for k, v in headers.items()})
+        try:
+            connection.request(method, path, body, fields)
+            response = connection.getresponse()
+            names = {k.lower(): v for k, v in response.getheaders()}
+            return response.status, names, response.read()
+        finally:
+            connection.close()
+
+    def status(self, *arguments: typing.Any, **more: typing.Any) -> int:
+        """Return the status, or 0 if there is no connection."""
+        try:
+            return self.request(*arguments, **more)[0]
+        except OSError:
+            return 0
+
+
+class Program(Caller):
+    """An entry with its loop, as the program runs it."""
+
+    def __init__(self, loop: Loop, leader: str, **changes: typing.Any) -> None:
+        super().__init__()
+        self.loop = loop
         self.settings = settings.EntrySettings(
             entry=ids.EntryId("entry-1"),
             data_centre=ids.DataCentreId("a"),
             listen=f"127.0.0.1:{self.port}",
-            control=(control,),
-            **{"threads": 16, **changes},
+            **{"threads": 16, "control": (leader,), **changes},
         )
         loop.run(self._start())
         self.server = entry.Server(self.settings, self.entry)
@@ -385,33 +421,20 @@
 
         wait_for(usable)
 
-    def request(
-        self,
-        method: str = "POST",
-        path: str = "/v1/chat/completions",
-        body: bytes = b"",
-        key: str = KEY,
-        **headers: str,
-    ) -> tuple[int, dict[str, str], bytes]:
-        """Return status, headers and body; a cut body raises."""
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.port, timeout=PATIENCE_S
-        )
-        fields = {"Authorization": f"Bearer {key}"}
-        fields.update({k.replace("_", "-"): v for k, v in headers.items()})
-        try:
-            connection.request(method, path, body, fields)
-            response = connection.getresponse()
-            names = {k.lower(): v for k, v in response.getheaders()}
-            return response.status, names, response.read()
-        finally:
-            connection.close()
-
     def close(self) -> None:
         self.server.stop()
         self.thread.join()
 
 
+def with_policy(stale: str, limit_s: float) -> schema.Configuration:
+    """Return the configuration with a policy for when it is stale."""
+    policy = schema.Policy(
+        stale_configuration=schema.StaleConfiguration(stale),
+        staleness_limit_s=limit_s,
+    )
+    return msgspec.structs.replace(CONFIGURATION, policy=policy)
+
+
 def completion(stream: bool = True) -> bytes:
     return json.dumps(
         {"model": "llm", "stream": stream, "messages": [{"content": "x"}]}
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,9 +1,20 @@
 """Requests, streams and refusals at a running entry."""
 
 import collections.abc
+import http.client
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
 
 import pytest
 
+from flamingocleat import messages
+from flamingocleat.connection import watch
+from flamingocleat.request import attempt
 from tests import entry_fakes as fakes
 
 
@@ -14,6 +25,14 @@
     world.close()
 
 
+def whole(received: fakes.Received) -> None:
+    received.answer(b"done")
+
+
+def drop(received: fakes.Received) -> None:
+    """End the connection without an answer."""
+
+
 def test_relays_whole_stream(world):
     """A stream must arrive as the engine sent it."""
     agent = world.agent("g/0", fakes.send_events)
@@ -22,3 +41,411 @@
     assert (status, body) == (200, fakes.events(20))
     assert headers["content-type"] == "text/event-stream"
     assert agent.received[0].headers["flamingocleat-fence"] == "7"
+
+
+_REFUSED = {
+    "no key": (401, {"key": ""}),
+    "unknown customer": (401, {"key": "another-key"}),
+    "service not permitted": (403, {"path": "/services/other/x"}),
+    "unknown service": (403, {"path": "/services/nowhere/x"}),
+    "wrong kind": (400, {"path": "/services/llm/x"}),
+    "no such page": (404, {"path": "/v1/models"}),
+    "wrong method": (405, {"method": "GET"}),
+    "body is no JSON": (400, {"body": b"{"}),
+    "body names no model": (400, {"body": b"{}"}),
+    "body too large": (413, {"body": b" " * 4097}),
+    "body too large for server": (413, {"Content_Length": "20000000"}),
+    "chunked body too large": (413, {"body": iter([b" " * 3000] * 2)}),
+    "header too large": (413, {"X_Other": "x" * 20_000}),
+    "bad timeout": (400, {"X_Request_Timeout_Ms": "1.5"}),
+    "relative path": (400, {"path": "/services/desk/a/%2e%2e/reset"}),
+    "key is no UUIDv7": (400, {"Idempotency_Key": "1234"}),
+    "key is a UUIDv4": (
+        400,
+        {"Idempotency_Key": "0193f5e0-0000-4000-8000-000000000000"},
+    ),
+    "key is too old": (
+        400,
+        {"Idempotency_Key": "0193f5e0-0000-7000-8000-000000000000"},
+    ),
+    "key lies in the future": (
+        400,
+        {"Idempotency_Key": "ffffffff-ffff-7000-8000-000000000000"},
+    ),
+}
+
+
+@pytest.mark.parametrize("name", _REFUSED)
+def test_refused_request_reaches_no_backend(world, name):
+    """A request that may not run must be refused before any dispatch."""
+    world.agent("g/0", fakes.send_events)
+    world.agent("desk-1", whole, "desk")
+    program = world.program()
+    expected, changes = _REFUSED[name]
+    arguments = {"body": fakes.completion(), **changes}
+    status, _, body = program.request(**arguments)
+    assert status == expected
+    assert [a.received for a in world.agents] == [[], []]
+    if name not in ("header too large", "body too large for server"):
+        assert json.loads(body)["outcome"] == "not-run"
+
+
+@pytest.mark.parametrize("cut", [0, 1, 11, 12, 13, 47, 150, 227, 228])
+def test_truncated_stream_is_resumed(world, cut):
+    """A connection cut at any byte must not cost or repeat an event."""
+
+    def truncate(received: fakes.Received) -> None:
+        data = fakes.events(20)[:cut]
+        received.sock.sendall(received.stream_head() + data)
+
+    truncating = world.agent("g/0", truncate)
+    world.agent("g/1", fakes.send_events)
+    program = world.program()
+    while not truncating.received:
+        _, _, body = program.request(body=fakes.completion())
+        assert body == fakes.events(20)
+
+
+def test_silent_stream_is_resumed(world):
+    """A connection that goes silent must not leave the caller waiting."""
+    released = threading.Event()
+
+    def pause(received: fakes.Received) -> None:
+        received.sock.sendall(received.stream_head() + b"data: {0}\n\nda")
+        released.wait(fakes.PATIENCE_S)
+
+    silent = world.agent("g/0", pause)
+    world.agent("g/1", fakes.send_events)
+    program = world.program(silence_timeout_s=0.2)
+    while not silent.received:
+        _, _, body = program.request(body=fakes.completion())
+        assert body == fakes.events(20)
+    released.set()
+
+
+def test_stream_that_cannot_be_resumed_has_no_proper_end(world):
+    """A caller must not take the part that arrived for a whole answer."""
+
+    def truncate(received: fakes.Received) -> None:
+        if received.offset:
+            received.answer(b"", "not-run", 503)
+        else:
+            received.sock.sendall(received.stream_head() + b"data: {0}\n\n")
+
+    world.agent("g/0", truncate)
+    program = world.program(resume_wait_s=0.2)
+    with pytest.raises(http.client.IncompleteRead) as caught:
+        program.request(body=fakes.completion())
+    assert b"event: error" in caught.value.partial
+    assert fakes.DONE not in caught.value.partial
+
+
+def test_answer_to_another_request_is_refused(world):
+    """An answer with a foreign request id must not reach the caller."""
+
+    def foreign(received: fakes.Received) -> None:
+        received.headers["x-request-id"] = "another"
+        received.answer(b"secret")
+
+    agent = world.agent("g/0", foreign)
+    world.agent("desk-1", foreign, "desk")
+    program = world.program()
+    status, _, body = program.request(body=fakes.completion(False))
+    assert (status, json.loads(body)["outcome"]) == (504, "unknown")
+    status, _, body = program.request(path="/services/desk/order")
+    assert (status, json.loads(body)["outcome"]) == (504, "unknown")
+    assert len(agent.received) == 1
+
+
+def test_late_duplicate_of_an_answer_is_dropped(world):
+    """Bytes behind a whole answer must not leak into the next one."""
+
+    def twice(received: fakes.Received) -> None:
+        fakes.send_events(received, 3)
+        received.sock.sendall(fakes.events(3))
+
+    world.agent("g/0", twice)
+    program = world.program()
+    connection = http.client.HTTPConnection("127.0.0.1", program.port)
+    for _ in range(3):
+        connection.request(
+            "POST",
+            "/v1/chat/completions",
+            fakes.completion(),
+            {"Authorization": f"Bearer {fakes.KEY}"},
+        )
+        assert connection.getresponse().read() == fakes.events(3)
+    connection.close()
+
+
+def test_equal_request_ids_of_callers_do_not_meet(world):
+    """Engines cancel by id, so two callers must not share one there."""
+    agent = world.agent("g/0", fakes.send_events)
+    program = world.program()
+    for _ in range(2):
+        _, headers, _ = program.request(
+            body=fakes.completion(), X_Request_Id="same"
+        )
+        assert headers["x-request-id"] == "same"
+    first, second = (r.headers["x-request-id"] for r in agent.received)
+    assert first != second
+    assert first.startswith("same.")
+
+
+def test_cut_answer_is_not_passed_on(world):
+    """A completion shorter than announced must be fetched anew."""
+
+    def cut(received: fakes.Received) -> None:
+        received.sock.sendall(received.head(Content_Length="4") + b"do")
+
+    cutting = world.agent("g/0", cut)
+    world.agent("g/1", whole)
+    program = world.program()
+    while not cutting.received:
+        answer = program.request(body=fakes.completion(False))
+        assert (answer[0], answer[2]) == (200, b"done")
+
+
+def test_not_run_by_agent_allows_another_attempt(world):
+    """A non-repeatable call that was not run may go to another agent."""
+
+    def refuse(received: fakes.Received) -> None:
+        received.answer(b"", "not-run", 409)
+
+    refusing = world.agent("desk-1", refuse, "desk")
+    running = world.agent("desk-2", whole, "desk")
+    program = world.program()
+    while not refusing.received:
+        answer = program.request(path="/services/desk/order")
+        assert (answer[0], answer[2]) == (200, b"done")
+    running.leaving = True
+    fakes.wait_for(
+        lambda: any(
+            w.candidate.leaving for w in program.entry.backends.watched.values()
+        )
+    )
+    status, headers, body = program.request(path="/services/desk/order")
+    assert (status, json.loads(body)["outcome"]) == (503, "not-run")
+    assert headers["retry-after"]
+
+
+@pytest.mark.parametrize("path", ["order", "%72eset", "/reset"])
+def test_broken_non_repeatable_call_is_unknown(world, path):
+    """A call that may have run must neither be repeated nor denied."""
+    for name in ("desk-1", "desk-2"):
+        world.agent(name, drop, "desk")
+    program = world.program()
+    method = "POST" if path == "order" else "GET"
+    status, _, body = program.request(method, f"/services/desk/{path}")
+    assert (status, json.loads(body)["outcome"]) == (504, "unknown")
+    assert sum(len(agent.received) for agent in world.agents) == 1
+
+
+def test_refused_connection_is_not_run(world):
+    """A call of which no byte was sent must not be told as unknown."""
+    agent = world.agent("desk-1", whole, "desk")
+    program = world.program()
+    # Closing a listener leaves it open while its thread accepts.
+    agent.http.shutdown(socket.SHUT_RDWR)
+    status, _, body = program.request(path="/services/desk/order")
+    assert (status, json.loads(body)["outcome"]) == (503, "not-run")
+
+
+def test_caller_that_leaves_ends_the_work(world):
+    """Work whose caller is gone must not go on at the engine."""
+    ended = threading.Event()
+
+    def endless(received: fakes.Received) -> None:
+        try:
+            if b"true" in received.body:
+                received.sock.sendall(received.stream_head())
+                while True:
+                    received.sock.sendall(b"data: {}\n\n")
+                    time.sleep(0.01)
+            received.sock.recv(1)
+            ended.set()
+        except OSError:
+            ended.set()
+
+    world.agent("g/0", endless)
+    program = world.program()
+    for stream in (True, False):
+        body = fakes.completion(stream)
+        caller = socket.create_connection(("127.0.0.1", program.port))
+        caller.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Authorization: Bearer %b\r\nContent-Length: %d\r\n\r\n%b"
+            % (fakes.KEY.encode(), len(body), body)
+        )
+        if stream:
+            caller.recv(1)
+        else:
+            fakes.wait_for(lambda: len(world.agents[0].received) == 2)
+        caller.close()
+        assert ended.wait(fakes.PATIENCE_S)
+        ended.clear()
+
+
+def test_leaving_and_silent_backends_get_no_work(world):
+    """New work must not go to an agent that leaves or is unreachable."""
+    agents = [world.agent(f"g/{i}", fakes.send_events) for i in range(3)]
+    program = world.program()
+    agents[0].leaving = True
+    agents[1].reporting = False
+    watched = program.entry.backends.watched
+    fakes.wait_for(
+        lambda: (
+            {
+                w.candidate.view.backend
+                for w in watched.values()
+                if w.candidate.leaving or w.candidate.suspect
+            }
+            == {"g/0", "g/1"}
+        )
+    )
+    for _ in range(6):
+        assert program.request(body=fakes.completion())[0] == 200
+    assert [len(agent.received) for agent in agents] == [0, 0, 6]
+
+
+def test_retries_stay_within_budget(world):
+    """Retries must not multiply the load when every attempt fails."""
+    for index in range(4):
+        world.agent(f"g/{index}", drop)
+    program = world.program()
+    requests = 150
+    for _ in range(requests):
+        assert program.request(body=fakes.completion(False))[0] == 504
+    attempts = sum(len(agent.received) for agent in world.agents)
+    assert requests < attempts <= requests * 1.1
+
+
+def test_budget_never_exceeds_its_ratio():
+    """The reserve of a new entry must not come on top of the ratio."""
+    budget = attempt.Budget(0.1)
+    granted = 0
+    for count in range(1, 500):
+        budget.record_request()
+        granted += budget.withdraw()
+        assert granted <= max(attempt.RESERVE, count / 10)
+
+
+def test_version_never_goes_back(world):
+    """An older control must neither revert nor confirm a configuration."""
+    world.agent("g/0", fakes.send_events)
+    older = fakes.Control(world.loop)
+    world.control.version, older.version = 5, 3
+    addresses = (world.control.served.address, older.served.address)
+    program = world.program(control=addresses)
+    control = program.entry.control
+    world.control.served.stop()
+    older.statuses.clear()
+    fakes.wait_for(lambda: control.channel is None)
+    confirmed_s = control.confirmed_s
+    fakes.wait_for(lambda: len(older.statuses) >= 3)
+    assert control.state.version == 5
+    assert control.confirmed_s == confirmed_s
+    assert {s.confirmed_version for s in older.statuses} == {5}
+    older.version = 6
+    fakes.wait_for(lambda: control.state.version == 6)
+
+
+def test_follows_hint_to_leader(world):
+    """A follower's hint must lead to the leader at once."""
+    world.agent("g/0", fakes.send_events)
+    follower = fakes.Control(world.loop, world.control.served.address)
+    program = world.program(control=(follower.served.address,))
+    assert program.request(body=fakes.completion())[0] == 200
+
+
+@pytest.mark.parametrize("policy", ["refuse", "serve"])
+def test_stale_configuration(world, policy):
+    """An entry that is cut off must refuse unless told to serve."""
+    world.agent("g/0", fakes.send_events)
+    world.control.configuration = fakes.with_policy(policy, 0.3)
+    program = world.program()
+    world.control.confirming = False
+    limit_s = program.entry.control.confirmed_s + 0.3
+    fakes.wait_for(lambda: time.monotonic() > limit_s)
+    status, _, body = program.request(body=fakes.completion())
+    ready, _, _ = program.request("GET", "/readyz")
+    if policy == "serve":
+        assert (status, ready) == (200, 200)
+    else:
+        assert (status, ready) == (503, 503)
+        assert json.loads(body)["outcome"] == "not-run"
+
+
+def test_delayed_view_confirms_only_what_it_proves():
+    """A view from a buffer must not refresh an old configuration."""
+    session = watch.Session()
+    for now_s in (100.0, 100.5, 107.0):
+        session.send(now_s)
+    assert session.confirmed_s(2) == 100.5
+    assert session.confirmed_s(3) == 107.0
+    assert session.confirmed_s(0) == 100.5
+    paused = watch.Session()
+    for now_s in (100.0, 107.0, 107.01, 107.02):
+        paused.send(now_s)
+    assert paused.confirmed_s(0) == 100.0
+
+
+def test_view_without_configuration_is_not_taken(world):
+    """A version must not be confirmed without its configuration."""
+    world.agent("g/0", fakes.send_events)
+    program = world.program()
+    world.control.configuration = None
+    world.control.version = 2
+    known = len(world.control.statuses)
+    fakes.wait_for(lambda: len(world.control.statuses) > known + 3)
+    assert program.entry.control.state.version == 1
+    assert messages.ClusterView(version=1).echo == 0
+
+
+def test_drain_cuts_no_stream(world, tmp_path):
+    """SIGTERM must not end a stream or refuse work too early."""
+    proceed = threading.Event()
+
+    def slow(received: fakes.Received) -> None:
+        if b"false" in received.body:
+            return received.answer(b"done")
+        received.sock.sendall(received.stream_head() + b"data: {0}\n\n")
+        proceed.wait(fakes.PATIENCE_S)
+        return received.sock.sendall(fakes.events(20)[len("data: {0}\n\n") :])
+
+    agent = world.agent("g/0", slow)
+    caller = fakes.Caller()
+    path = tmp_path / "entry.yaml"
+    path.write_text(
+        f"entry: e\ndata_centre: a\nlisten: 127.0.0.1:{caller.port}\n"
+        f"control: ['{world.control.served.address}']\nthreads: 8\n"
+        "drain_notice_s: 1.0\nsilence_timeout_s: 60.0\n"
+    )
+    command = [sys.executable, "-m", "flamingocleat.process.entry"]
+    program = subprocess.Popen(
+        [*command, "--settings", str(path)],
+        env={"PYTHONPATH": "src"},
+        stderr=subprocess.DEVNULL,
+    )
+    bodies = []
+    stream = threading.Thread(
+        target=lambda: bodies.append(caller.request(body=fakes.completion()))
+    )
+    try:
+        whole = fakes.completion(False)
+        fakes.wait_for(lambda: caller.status(body=whole) == 200)
+        stream.start()
+        fakes.wait_for(lambda: b"true" in agent.received[-1].body)
+        program.send_signal(signal.SIGTERM)
+        fakes.wait_for(lambda: caller.status("GET", "/readyz") == 503)
+        assert caller.status(body=whole) == 200
+        fakes.wait_for(lambda: caller.status(body=whole) == 503)
+        assert program.poll() is None
+        proceed.set()
+        stream.join()
+        assert bodies[0][0::2] == (200, fakes.events(20))
+        assert program.wait(fakes.PATIENCE_S) == 0
+    finally:
+        proceed.set()
+        program.kill()
+        program.wait()
