Test the cluster under kills, cuts, slow disks and bad links

Cause: agreement must hold while voters, disks and links fail.

Three voters run in one process over an in-memory network that a test can cut, and that loses and delays messages by a pinned seed; one test uses gRPC on loopback sockets, and one a forwarder whose first connection goes silent. A handler that is overtaken by the stop of its voter now answers UNAVAILABLE; before, it raised RuntimeError from the closed executor into its caller.

--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -163,7 +163,11 @@
         does not make entries count as durable."""
         self.truncate_from: int | None = None
         self.new_snapshot: storage_module.Snapshot | None = None
-        self.bytes_since_snapshot = 0
+        self.snapshot_index = storage.snapshot.index
+        """Index of the last snapshot, even if it is still being written."""
+        self.bytes_since_snapshot = sum(
+            len(entry.command) for entry in storage.entries
+        )
         self._restore_snapshot()
         self._find_membership()
 
@@ -395,10 +399,7 @@
         return messages.SnapshotReply(self.term, self.voter)
 
     def _check_target(self, target: ids.VoterId) -> None:
-        if self.failure:
-            raise grpclib.GRPCError(
-                grpclib.Status.UNAVAILABLE, f"voter failed: {self.failure}"
-            )
+        self._check_taking_part()
         # An address may have passed to another voter, which must not vote
         # or store entries in the former one's name.
         if target != self.voter:
@@ -407,6 +408,13 @@
                 f"message for voter {target} reached voter {self.voter}",
             )
 
+    def _check_taking_part(self) -> None:
+        if self.failure:
+            raise grpclib.GRPCError(
+                grpclib.Status.UNAVAILABLE,
+                f"voter {self.voter} takes no part: {self.failure}",
+            )
+
     def _would_grant(self, request: messages.VoteRequest) -> bool:
         silent_s = time.monotonic() - self.leader_heard_s
         return (
@@ -481,6 +489,7 @@
         self.durable_index = 0
         self.commit_index = index
         self.applied_index = index
+        self.snapshot_index = index
         self.bytes_since_snapshot = 0
         self._restore_snapshot()
         self._find_membership()
@@ -506,7 +515,7 @@
                 f"leader {self.leader} of term {self.term} contradicts "
                 f"committed entry {from_index}"
             )
-            raise grpclib.GRPCError(grpclib.Status.UNAVAILABLE, self.failure)
+            self._check_taking_part()
         self.entries.truncate(from_index)
         self.epoch += 1
         self.durable_index = min(self.durable_index, from_index - 1)
@@ -661,20 +670,21 @@
 
     def _compact(self) -> None:
         index = self.applied_index
-        count = index - self.snapshot.index
+        count = index - self.snapshot_index
         due = (
             count >= self.settings.snapshot_interval_entries
             or self.bytes_since_snapshot >= MAX_LOG_BYTES
         )
         # Storage must hold the entry at the snapshot's index to keep the
         # entries after it.
-        if not due or self.new_snapshot or index > self.durable_index:
+        if not due or index > self.durable_index:
             return
         data = SnapshotData(self._membership_at(index), self.machine.snapshot())
         self.new_snapshot = storage_module.Snapshot(
             index, self.entries.term(index), msgspec.msgpack.encode(data)
         )
         self.first_membership = data.membership
+        self.snapshot_index = index
         self.bytes_since_snapshot = 0
         self.write_needed.set()
 
@@ -827,6 +837,7 @@
         """Return once the present term and vote are on disk."""
         loop = asyncio.get_running_loop()
         while self.saved_vote != (self.term, self.voted_for):
+            self._check_taking_part()
             vote = (self.term, self.voted_for)
             try:
                 await loop.run_in_executor(
@@ -834,9 +845,7 @@
                 )
             except errors.StorageError as error:
                 self._fail(str(error))
-                raise grpclib.GRPCError(
-                    grpclib.Status.UNAVAILABLE, self.failure
-                ) from error
+                self._check_taking_part()
             self.saved_vote = vote
 
     def _delay_election(self) -> None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -62,15 +62,16 @@
         self.loss = 0.0
         self.max_delay_s = 0.0
         self.sent: list[tuple[str, object]] = []
+        """Source and request of every call, lost ones included."""
 
     def caller(self, source: str):
         async def call(call, address, request, timeout_s):
             async with asyncio.timeout(timeout_s):
+                self.sent.append((source, request))
                 await self.cross(source, address)
                 target = self.voters.get(address)
                 if target is None:
                     raise ConnectionRefusedError(address)
-                self.sent.append((address, request))
                 reply = await {
                     codec.VOTE: target.handle_vote,
                     codec.APPEND: target.handle_append,
@@ -96,6 +97,12 @@
     def heal(self) -> None:
         self.cut.clear()
 
+    def count(self, source: str, kind: type) -> int:
+        return sum(
+            sender == source and isinstance(request, kind)
+            for sender, request in self.sent
+        )
+
 
 class Cluster:
     """Voters a, b and c; the address of a voter is its id."""
@@ -138,6 +145,14 @@
         self.voters[name] = node
         await node.start()
 
+    async def settled_leader(self) -> consensus.Consensus:
+        """Wait for a leader that all running voters follow."""
+        node = await self.leader()
+        await until(
+            lambda: all(v.leader == node.voter for v in self.voters.values())
+        )
+        return node
+
     async def kill(self, name: str) -> None:
         """Take a voter away; only what is on its disk remains."""
         node = self.voters.pop(name)
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,164 @@
+"""Voters talk gRPC over loopback, also when a connection goes silent."""
+
+import asyncio
+import contextlib
+import socket
+
+import grpclib
+import grpclib.server
+import pytest
+
+from flamingocleat import errors
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.connection import codec
+from flamingocleat.connection import peer
+from flamingocleat.process import consensus
+from flamingocleat.process import settings
+from flamingocleat.process import storage
+from flamingocleat.version import machine
+from tests import cluster as cluster_module
+
+
+class Voter:
+    """One voter behind a gRPC server on loopback."""
+
+    def __init__(self, folder, name, listeners) -> None:
+        self.listener = listeners[name]
+        addresses = {
+            ids.VoterId(v): f"127.0.0.1:{s.getsockname()[1]}"
+            for v, s in listeners.items()
+        }
+        own = settings.ControlSettings(
+            voter=ids.VoterId(name),
+            data_centre=ids.DataCentreId("praha-a"),
+            listen=addresses[ids.VoterId(name)],
+            operators_listen="",
+            data_folder=str(folder / name),
+            voters=addresses,
+        )
+        opened = storage.Storage.create(own.data_folder, own.voter)
+        self.node = consensus.Consensus(
+            own, opened, machine.Machine(), seed=ord(name)
+        )
+        self.server = grpclib.server.Server(
+            [self.node.service()], codec=codec.Codec()
+        )
+
+    async def start(self) -> None:
+        await self.server.start(sock=self.listener)
+        await self.node.start()
+
+    async def stop(self) -> None:
+        await self.node.stop()
+        self.server.close()
+        await self.server.wait_closed()
+        self.node.storage.close()
+
+
+def test_cluster_over_grpc_survives_its_leader(tmp_path):
+    """What passes in memory must also pass the codec and real sockets."""
+
+    async def scenario():
+        listeners = {
+            name: socket.create_server(("127.0.0.1", 0)) for name in "abc"
+        }
+        voters = {n: Voter(tmp_path, n, listeners) for n in "abc"}
+        for voter in voters.values():
+            await voter.start()
+
+        async def write(base: int) -> None:
+            async with asyncio.timeout(cluster_module.LIMIT_S):
+                while True:
+                    for voter in voters.values():
+                        with contextlib.suppress(
+                            errors.NotLeaderError, errors.CommitUnknownError
+                        ):
+                            await voter.node.propose(
+                                cluster_module.submission(f"c{base}", base)
+                            )
+                            await voter.node.confirm()
+                            return
+                    await asyncio.sleep(0.01)
+
+        for base in range(5):
+            await write(base)
+        leader = next(
+            n for n, v in voters.items() if v.node.role is consensus.Role.LEADER
+        )
+        await voters.pop(leader).stop()
+        await write(5)
+        nodes = [voter.node for voter in voters.values()]
+        await cluster_module.until(
+            lambda: all(node.machine.version == 6 for node in nodes)
+        )
+        for voter in voters.values():
+            await voter.stop()
+
+    asyncio.run(scenario())
+
+
+def test_silent_connection_is_replaced(tmp_path):
+    """A connection that a device forgot must not silence a voter."""
+
+    async def scenario():
+        listeners = {"a": socket.create_server(("127.0.0.1", 0))}
+        voter = Voter(tmp_path, "a", listeners)
+        await voter.server.start(sock=voter.listener)
+        port = voter.listener.getsockname()[1]
+        accepted = []
+
+        async def forward(reader, writer):
+            accepted.append(writer)
+            if len(accepted) == 1:
+                return
+            onward = await asyncio.open_connection("127.0.0.1", port)
+            await asyncio.gather(
+                _copy(reader, onward[1]), _copy(onward[0], writer)
+            )
+
+        device = await asyncio.start_server(forward, "127.0.0.1", 0)
+        address = f"127.0.0.1:{device.sockets[0].getsockname()[1]}"
+        request = messages.VoteRequest(
+            term=1,
+            candidate=ids.VoterId("b"),
+            target=ids.VoterId("a"),
+            last_index=0,
+            last_term=0,
+        )
+        caller = peer.Caller()
+        with pytest.raises(peer.FAILURES):
+            await caller.call(codec.VOTE, address, request, 0.3)
+        reply = await caller.call(
+            codec.VOTE, address, request, cluster_module.LIMIT_S
+        )
+        assert reply.granted
+        # A refusal is an answer: its connection stays in use.
+        wrong = messages.VoteRequest(
+            term=1,
+            candidate=ids.VoterId("b"),
+            target=ids.VoterId("z"),
+            last_index=0,
+            last_term=0,
+        )
+        for _ in range(2):
+            with pytest.raises(grpclib.GRPCError) as caught:
+                await caller.call(
+                    codec.VOTE, address, wrong, cluster_module.LIMIT_S
+                )
+            refusal = grpclib.Status.FAILED_PRECONDITION
+            assert caught.value.status is refusal
+        assert len(accepted) == 2
+        caller.close()
+        device.close()
+        await voter.stop()
+
+    asyncio.run(scenario())
+
+
+async def _copy(reader, writer) -> None:
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+    writer.close()
