Bound the register and the audit trail by a voter's memory

Cause: a voter may use 64 MB.

Ruled out: dropping the oldest keys instead of refusing new ones, which would break the 24 h. A register that is full refuses claims as not run.

--- a/src/flamingocleat/version/machine.py
+++ b/src/flamingocleat/version/machine.py
@@ -21,7 +21,7 @@
 72,000 changes a day. A submission that is resent later than that carries an
 outdated base version and is refused, so it is never accepted twice."""
 MAX_AUDIT_RECORDS = 10_000
-MAX_AUDIT_CHARACTERS = 8_000_000
+MAX_AUDIT_CHARACTERS = 2_000_000
 """Total length of the differences in the audit trail; oldest dropped."""
 MAX_DIFFERENCE_CHARACTERS = 16_000
 """Longer differences are cut in the audit trail."""
--- a/src/flamingocleat/version/register.py
+++ b/src/flamingocleat/version/register.py
@@ -6,6 +6,7 @@
 
 import heapq
 import re
+import sys
 
 import msgspec
 
@@ -15,12 +16,14 @@
 RETENTION_MS = 24 * 3600 * 1000
 MAX_FUTURE_MS = 5 * 60 * 1000
 
-MAX_KEYS = 100_000
-"""Keys held at once; further claims are refused as not run."""
+MAX_KEYS = 20_000
+"""Keys held at once; further claims are refused as not run. A key without
+an answer took 0.66 KiB in a trial, so this is 13 MB of a voter's 64 MB."""
 MAX_ANSWER_BYTES = 256 * 1024
 """Longest answer that is kept; a longer one is only known to exist."""
-MAX_ANSWERS_BYTES = 32 * 1024 * 1024
-"""Total of the answers kept, against the 64 MB that a voter may use."""
+MAX_ANSWERS_BYTES = 4 * 1024 * 1024
+"""Total of the answers kept; they are in memory twice, as the latest
+snapshot is."""
 
 MAX_CANCELLED_PERMITS = 16
 """Cancelled permits remembered for each key, oldest dropped first."""
@@ -47,6 +50,14 @@
     cancelled: tuple[ids.PermitId, ...] = ()
     """Permits that a claim that arrives late must not bring back."""
 
+    def __post_init__(self) -> None:
+        """Share the strings that recur, at each decoding as well."""
+        self.customer = ids.CustomerId(sys.intern(self.customer))
+        self.service = ids.ServiceId(sys.intern(self.service))
+        self.vm = ids.VmId(sys.intern(self.vm))
+        self.incarnation = ids.Incarnation(sys.intern(self.incarnation))
+        self.address = sys.intern(self.address)
+
 
 class RegisterState(msgspec.Struct):
     """What a snapshot keeps of a register."""
