--- a/src/flamingocleat/connection/session.py
+++ b/src/flamingocleat/connection/session.py
@@ -131,7 +131,7 @@
         agent = self.agents.get(status.vm)
         if agent is None or agent.session is not session:
             return False
-        if (status.vm, status.incarnation) != (session.vm, session.incarnation):
+        if status.incarnation != session.incarnation:
             return False
         previous, agent.status = agent.status, status
         agent.heard_s = self.clock()
--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,158 @@
+"""Control must know which incarnation of which VM is live."""
+
+import asyncio
+
+import grpclib
+import grpclib.const
+import msgspec
+import pytest
+
+from flamingocleat import errors
+from flamingocleat import messages
+from flamingocleat.connection import session
+from tests import streams
+
+
+def _status(incarnation: str = "a", **values) -> messages.AgentStatus:
+    return messages.AgentStatus(
+        vm="vm-1",
+        incarnation=incarnation,
+        data_centre="praha-a",
+        fabric_domain="praha-a-1",
+        kind=messages.BackendKind.ENGINE,
+        control_address="127.0.0.1:1",
+        data_address="127.0.0.1:2",
+        **values,
+    )
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+async def _admit() -> None:
+    return None
+
+
+def _sessions(
+    clock: _Clock, order_for=None, on_change=lambda: None
+) -> session.Sessions:
+    return session.Sessions(
+        _admit,
+        order_for or (lambda status: messages.AgentOrder()),
+        on_change,
+        clock,
+    )
+
+
+def _incarnations(sessions: session.Sessions) -> list[str]:
+    return [vm.incarnation for vm in sessions.vms()]
+
+
+def test_older_incarnation_does_not_come_back():
+    """A frozen agent that resumes would take its successor's place."""
+    sessions = _sessions(_Clock())
+    old = sessions.open(_status("a"))
+    sessions.open(_status("b"))
+    assert not sessions.take(old, _status("a"))
+    with pytest.raises(errors.UnavailableError):
+        sessions.open(_status("a"))
+    assert _incarnations(sessions) == ["b"]
+
+
+def test_older_incarnation_is_taken_once_the_newer_is_lost():
+    """A VM whose newer agent has died would be refused forever."""
+    clock = _Clock()
+    sessions = _sessions(clock)
+    sessions.open(_status("a"))
+    sessions.open(_status("b"))
+    clock.now_s += session.LOST_AFTER_S
+    sessions.open(_status("a"))
+    assert _incarnations(sessions) == ["a"]
+
+
+def test_status_on_a_replaced_stream_is_ignored():
+    """Bytes delayed on an old connection would undo a newer status."""
+    sessions = _sessions(_Clock())
+    old = sessions.open(_status())
+    sessions.open(_status(leaving=True))
+    assert not sessions.take(old, _status())
+    assert sessions.vms()[0].leaving
+
+
+def test_another_vm_on_the_same_stream_is_ignored():
+    """One agent's session would keep a lost VM alive."""
+    clock = _Clock()
+    sessions = _sessions(clock)
+    opened = sessions.open(_status())
+    other = msgspec.structs.replace(_status(), vm="vm-2")
+    sessions.open(other)
+    assert not sessions.take(opened, other)
+    assert not sessions.take(opened, _status("b"))
+    assert _incarnations(sessions) == ["a", "a"]
+
+
+def test_silent_agent_is_lost_and_its_stream_ended():
+    """A VM whose connection went silent would stay in its group."""
+    clock = _Clock()
+    changes = []
+    sessions = _sessions(clock, on_change=lambda: changes.append(1))
+    opened = sessions.open(_status())
+    clock.now_s += session.LOST_AFTER_S
+    assert sessions.vms() == ()
+    changes.clear()
+    sessions.expire()
+    assert changes
+    assert opened.ended
+    opened = sessions.open(_status())
+    assert sessions.vms()[0].losses_s == (clock.now_s,)
+
+
+def test_drained_vm_counts_as_leaving():
+    """A drained VM would be given to a group again."""
+    sessions = _sessions(_Clock())
+    sessions.open(_status())
+    assert not sessions.vms()[0].leaving
+    assert sessions.vms({"vm-1"})[0].leaving
+
+
+def test_changed_order_is_sent_at_once():
+    """An assignment would wait for the next keepalive."""
+    orders = [messages.AgentOrder()]
+    stream = streams.Stream()
+
+    async def scenario() -> None:
+        sessions = _sessions(_Clock(), lambda status: orders[-1])
+        await stream.incoming.put(_status())
+        task = asyncio.create_task(sessions.handle(stream))
+        await stream.wait_sent(1)
+        orders.append(messages.AgentOrder(leave=True))
+        sessions.notify()
+        await streams.settle()
+        assert [order.leave for order in stream.sent] == [False, True]
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_lost_leadership_ends_sessions_with_the_new_address():
+    """Agents would go on reporting to a voter that places nothing."""
+
+    async def scenario() -> None:
+        stream = streams.Stream()
+        sessions = _sessions(_Clock())
+        await stream.incoming.put(_status())
+        task = asyncio.create_task(sessions.handle(stream))
+        await stream.wait_sent(1)
+        sessions.end_all(errors.NotLeaderError("127.0.0.1:9"))
+        with pytest.raises(grpclib.GRPCError) as caught:
+            await asyncio.wait_for(task, 10)
+        assert caught.value.status is grpclib.const.Status.FAILED_PRECONDITION
+        assert caught.value.message == "127.0.0.1:9"
+        assert sessions.agents == {}
+
+    asyncio.run(scenario())
