--- a/src/flamingocleat/process/control.py
+++ b/src/flamingocleat/process/control.py
@@ -104,19 +104,17 @@
         self.server = grpclib.server.Server(
             [self.consensus.service(), self._service()], codec=codec.Codec()
         )
+        self.operators = operators.Operators(
+            settings,
+            self.consensus,
+            self.machine,
+            self.leadership,
+            self._status,
+            self.shutdown,
+        )
         self.http = operators.HttpServer(
             settings.operators_listen,
-            operators.application(
-                operators.Operators(
-                    settings,
-                    self.consensus,
-                    self.machine,
-                    self.leadership,
-                    self._status,
-                    self.shutdown,
-                ),
-                self.health,
-            ),
+            operators.application(self.operators, self.health),
         )
         self.tasks: list[asyncio.Task[None]] = []
         self.health.ready_checks["shutdown"] = self._check_shutdown
--- a/src/flamingocleat/process/operators.py
+++ b/src/flamingocleat/process/operators.py
@@ -61,7 +61,8 @@
     title: str
     status: int
     detail: str
-    outcome: str = "not-run"
+    outcome: str
+    """not-run or unknown."""
     findings: tuple[errors.Finding, ...] = ()
     present_version: int | None = None
 
@@ -303,7 +304,11 @@
         status, title = _REFUSALS[outcome.decision]
         raise ProblemError(
             ProblemDocument(
-                title, status, outcome.reason, present_version=outcome.version
+                title,
+                status,
+                outcome.reason,
+                "not-run",
+                present_version=outcome.version,
             )
         )
 
@@ -407,6 +412,7 @@
                 "Document has findings",
                 422,
                 f"{len(error.findings)} findings",
+                "not-run",
                 findings=tuple(error.findings),
             )
         )
@@ -634,7 +640,9 @@
 ) -> bytes:
     cherrypy.response.headers["Content-Type"] = "application/problem+json"
     code, _, title = status.partition(" ")
-    return msgspec.json.encode(ProblemDocument(title, int(code), message))
+    return msgspec.json.encode(
+        ProblemDocument(title, int(code), message, "not-run")
+    )
 
 
 def _unexpected() -> None:
