--- a/src/flamingocleat/process/control.py
+++ b/src/flamingocleat/process/control.py
@@ -25,6 +25,7 @@
 from flamingocleat.process import leadership as leadership_module
 from flamingocleat.process import logs
 from flamingocleat.process import operators
+from flamingocleat.process import pages
 from flamingocleat.process import repair as repair_module
 from flamingocleat.process import settings as settings_module
 from flamingocleat.process import shutdown as shutdown_module
@@ -247,10 +248,10 @@
             self.machine.version, self.machine.configuration, backends
         )
 
-    def _status(self) -> operators.StatusPage:
+    def _status(self) -> pages.StatusPage:
         live = {agent.status.vm: agent for agent in self.sessions.live()}
         entries = tuple(
-            operators.EntryLine(
+            pages.EntryLine(
                 entry=watch.status.entry,
                 data_centre=watch.status.data_centre,
                 confirmed_version=watch.status.confirmed_version,
@@ -259,7 +260,7 @@
             )
             for watch in self.views.watches.values()
         )
-        return operators.StatusPage(
+        return pages.StatusPage(
             voter=self.settings.voter,
             term=self.consensus.term,
             applied_index=self.consensus.applied_index,
@@ -302,9 +303,9 @@
     return round((now_s - then_s) * 1000)
 
 
-def _vm_line(agent: session.LiveAgent, now_s: float) -> operators.VmLine:
+def _vm_line(agent: session.LiveAgent, now_s: float) -> pages.VmLine:
     status = agent.status
-    return operators.VmLine(
+    return pages.VmLine(
         vm=status.vm,
         incarnation=status.incarnation,
         data_centre=status.data_centre,
@@ -319,12 +320,10 @@
     )
 
 
-def _group_line(
-    assignment: messages.Assignment, live: dict
-) -> operators.GroupLine:
+def _group_line(assignment: messages.Assignment, live: dict) -> pages.GroupLine:
     lead = assignment.members[0]
     agent = live.get(lead.vm)
-    return operators.GroupLine(
+    return pages.GroupLine(
         group=assignment.group,
         service=assignment.service,
         model=f"{assignment.model}@{assignment.model_version}",
@@ -364,7 +363,7 @@
         voters = getattr(value, key) or {}
         addresses += [((key, voter), a) for voter, a in voters.items()]
     for path, address in addresses:
-        if address is not None and not operators.is_address(address):
+        if address is not None and not pages.is_address(address):
             found.add(
                 path,
                 f"{address!r} is not an address",
--- /dev/null
+++ b/src/flamingocleat/process/ctl.py
@@ -0,0 +1,476 @@
+"""Operators' command line; docs/ctl.md describes commands and exit codes."""
+
+import argparse
+import collections.abc
+import enum
+import pathlib
+import random
+import sys
+import time
+import typing
+import uuid
+
+import msgspec
+import urllib3
+
+from flamingocleat import errors
+from flamingocleat.process import pages
+from flamingocleat.process import settings as settings_module
+from flamingocleat.version import difference
+from flamingocleat.version import document
+from flamingocleat.version import schema
+from flamingocleat.version import validation
+
+ATTEMPT_TIMEOUT_S = 12.0
+"""Longer than control takes to tell an outcome as unknown."""
+CONNECT_TIMEOUT_S = 2.0
+PAUSE_S = 0.2
+
+
+class Exit(enum.IntEnum):
+    """Exit codes."""
+
+    OK = 0
+    DIFFERENT = 1
+    """diff: the document differs from the configuration in force."""
+    USAGE = 2
+    FINDINGS = 3
+    CONFLICT = 4
+    REFUSED = 5
+    UNAVAILABLE = 6
+    """No leader answered, and nothing was changed."""
+    UNKNOWN = 7
+    """A change may or may not take effect; repeat it with its change id."""
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Definitive answer of control."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class OutcomeUnknownError(errors.FlamingocleatError):
+    """A change was sent, and no definitive answer came."""
+
+
+class Client:
+    """Asks control through any of its voters until a definitive answer."""
+
+    def __init__(self, settings: settings_module.CtlSettings, key: str) -> None:
+        self.settings = settings
+        self.key = key
+        self.http = urllib3.PoolManager(retries=False)
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: collections.abc.Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Return the definitive answer, asking other voters if need be.
+
+        Raises UnavailableError if nothing was changed, and
+        OutcomeUnknownError if a change may have been made.
+        """
+        due_s = time.monotonic() + self.settings.timeout_s
+        sent = dict(headers or {})
+        sent["Authorization"] = f"Bearer {self.key}"
+        is_change = method != "GET"
+        lost_answer = False
+        reason = "no voter is configured"
+        addresses = list(self.settings.control)
+        while addresses and time.monotonic() < due_s:
+            address = addresses.pop(0)
+            reply, reason, reached = self._attempt(
+                method, address, path, body, sent
+            )
+            addresses.append(address)
+            if reply is not None and reply.status == 307:
+                self._follow(reply, addresses)
+                reason = f"{address} is not the leader"
+                if len(addresses) > 1:
+                    continue
+            elif reply is not None and reply.status < 500:
+                # After a lost answer, the key may have lost its right
+                # through this very change.
+                repeated = is_change and lost_answer
+                if not (repeated and reply.status == 401):
+                    return reply
+                reason = "the key is no longer valid after a lost answer"
+                break
+            else:
+                lost_answer = lost_answer or reached
+            time.sleep(PAUSE_S * random.uniform(0.5, 1.5))
+        if is_change and lost_answer:
+            raise OutcomeUnknownError(f"outcome unknown: {reason}")
+        raise errors.UnavailableError(f"no answer: {reason}")
+
+    def _attempt(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+    ) -> tuple[Reply | None, str, bool]:
+        """Return the reply or why there is none, and if it may have run."""
+        try:
+            reply = self.http.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=headers,
+                redirect=False,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=ATTEMPT_TIMEOUT_S
+                ),
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return None, str(error), False
+        except urllib3.exceptions.HTTPError as error:
+            return None, str(error), True
+        made = Reply(reply.status, dict(reply.headers), reply.data)
+        reason = f"{address} answered {reply.status}: {_detail(made)}"
+        return made, reason, _outcome(made) != "not-run"
+
+    def _follow(self, reply: Reply, addresses: list[str]) -> None:
+        """Ask the leader next, if it is one of the known voters."""
+        location = urllib3.util.parse_url(reply.headers.get("Location", ""))
+        # The key is sent to addresses from the settings only.
+        if location.netloc in addresses:
+            addresses.remove(location.netloc)
+            addresses.insert(0, location.netloc)
+
+
+def _problem(reply: Reply) -> dict[str, typing.Any]:
+    try:
+        found = msgspec.json.decode(reply.body)
+    except msgspec.DecodeError:
+        return {}
+    return found if isinstance(found, dict) else {}
+
+
+def _detail(reply: Reply) -> str:
+    return str(_problem(reply).get("detail", ""))
+
+
+def _outcome(reply: Reply) -> str:
+    return str(_problem(reply).get("outcome", "unknown"))
+
+
+class Result(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a command prints."""
+
+    result: str
+    detail: str = ""
+    change_id: str = ""
+    version: int | None = None
+    findings: tuple[errors.Finding, ...] = ()
+    changes: tuple[difference.Change, ...] = ()
+    body: msgspec.Raw = msgspec.Raw(b"null")
+
+    def text(self) -> str:
+        """Format for people."""
+        lines = [str(finding) for finding in self.findings]
+        lines += [str(change) for change in self.changes]
+        summary = self.result
+        if self.version is not None:
+            summary += f", version {self.version}"
+        if self.change_id:
+            summary += f", change id {self.change_id}"
+        if self.detail:
+            summary += f": {self.detail}"
+        return "\n".join([*lines, summary])
+
+
+Command = collections.abc.Callable[[argparse.Namespace], tuple[Exit, Result]]
+
+_COMMANDS: dict[str, Command] = {}
+
+
+def command(name: str) -> collections.abc.Callable[[Command], Command]:
+    """Register a command under a name."""
+
+    def register(function: Command) -> Command:
+        _COMMANDS[name] = function
+        return function
+
+    return register
+
+
+def _read(path: str) -> tuple[str, schema.Configuration]:
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.DocumentError(
+            [errors.Finding(path, 1, 1, str(error), "give a readable file")]
+        ) from error
+    return text, validation.check(text, path)
+
+
+def _client(arguments: argparse.Namespace) -> Client:
+    """Return a client from the arguments, which override the settings."""
+    if arguments.settings:
+        settings = document.load(
+            arguments.settings, settings_module.CtlSettings
+        )
+    else:
+        settings = settings_module.CtlSettings(control=(), key_file="")
+    changes: dict[str, typing.Any] = {}
+    if arguments.control:
+        changes["control"] = tuple(arguments.control)
+    if arguments.key_file:
+        changes["key_file"] = arguments.key_file
+    if arguments.timeout is not None:
+        changes["timeout_s"] = arguments.timeout
+    settings = msgspec.structs.replace(settings, **changes)
+    for address in settings.control:
+        if not pages.is_address(address):
+            raise _UsageError(f"{address!r} is not an IP number and port")
+    if not settings.control or not settings.key_file:
+        raise _UsageError("give --control and --key-file, or --settings")
+    try:
+        key = pathlib.Path(settings.key_file).read_text("ascii").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise _UsageError(f"cannot read the key: {error}") from error
+    if not key.isprintable() or " " in key or not key:
+        raise _UsageError(f"{settings.key_file} does not hold one key")
+    return Client(settings, key)
+
+
+class _UsageError(errors.FlamingocleatError):
+    """The arguments or settings are not sufficient."""
+
+
+@command("validate")
+def validate(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Check a document without asking control."""
+    _read(arguments.file)
+    return Exit.OK, Result("valid")
+
+
+@command("diff")
+def diff(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Compare a document with the configuration in force."""
+    _, new = _read(arguments.file)
+    reply = _client(arguments).ask("GET", "/v1/configuration")
+    old, version = None, 0
+    if reply.status == 200:
+        old = validation.check(reply.body.decode(), "in force")
+        version = int(reply.headers.get("Configuration-Version", "0"))
+    elif reply.status != 404:
+        return _refusal(reply)
+    changes = difference.compare(old, new)
+    result = Result(
+        "different" if changes else "same", version=version, changes=changes
+    )
+    return (Exit.DIFFERENT if changes else Exit.OK), result
+
+
+@command("submit")
+def submit(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Submit a document on a base version."""
+    text, _ = _read(arguments.file)
+    return _change(
+        arguments,
+        "POST",
+        "/v1/configuration",
+        text.encode(),
+        {
+            "Base-Version": str(arguments.base_version),
+            "Content-Type": "application/yaml",
+        },
+    )
+
+
+@command("status")
+def status(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Show versions per entry, groups and VMs."""
+    return _show(_client(arguments).ask("GET", "/v1/status"))
+
+
+@command("audit")
+def audit(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Show accepted changes."""
+    path = f"/v1/audit?after={arguments.after}&limit={arguments.limit}"
+    return _show(_client(arguments).ask("GET", path))
+
+
+@command("drain")
+def drain(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Drain a VM."""
+    return _change(arguments, "POST", _drain_path(arguments))
+
+
+@command("undrain")
+def undrain(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """End the drain of a VM."""
+    return _change(arguments, "DELETE", _drain_path(arguments))
+
+
+@command("replace-voter")
+def replace_voter(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Replace a voter by one with a new voter id."""
+    new = pages.Replacement(voter=arguments.new, address=arguments.address)
+    return _change(
+        arguments,
+        "POST",
+        f"/v1/voters/{_token(arguments.old)}/replacement",
+        msgspec.json.encode(new),
+    )
+
+
+def _drain_path(arguments: argparse.Namespace) -> str:
+    return f"/v1/vms/{_token(arguments.vm)}/drain"
+
+
+def _token(text: str) -> str:
+    if not pages.TOKEN.fullmatch(text):
+        raise _UsageError(
+            f"{text!r}: use 1 to 128 letters, digits, '.', '_', ':' and '-'"
+        )
+    return text
+
+
+def _change(
+    arguments: argparse.Namespace,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: collections.abc.Mapping[str, str] | None = None,
+) -> tuple[Exit, Result]:
+    change_id = _token(arguments.change_id or str(uuid.uuid4()))
+    client = _client(arguments)
+    # Printed first, so that a change can be repeated after an interruption.
+    print(f"change id {change_id}", file=sys.stderr, flush=True)
+    sent = {**(headers or {}), "Change-Id": change_id}
+    try:
+        reply = client.ask(method, path, body, sent)
+    except OutcomeUnknownError as error:
+        return Exit.UNKNOWN, Result("unknown", str(error), change_id)
+    except errors.UnavailableError as error:
+        return Exit.UNAVAILABLE, Result("not changed", str(error), change_id)
+    if reply.status != 200:
+        return _refusal(reply, change_id)
+    version = msgspec.json.decode(reply.body, type=pages.ChangeReply)
+    return Exit.OK, Result(
+        "accepted", change_id=change_id, version=version.version
+    )
+
+
+def _refusal(reply: Reply, change_id: str = "") -> tuple[Exit, Result]:
+    try:
+        problem = msgspec.json.decode(reply.body, type=pages.ProblemDocument)
+    except msgspec.DecodeError:
+        return Exit.REFUSED, Result(
+            "refused", f"answer {reply.status}", change_id
+        )
+    if problem.findings:
+        code, word = Exit.FINDINGS, "findings"
+    elif reply.status == 409:
+        code, word = Exit.CONFLICT, "conflict"
+    else:
+        code, word = Exit.REFUSED, "refused"
+    return code, Result(
+        word,
+        f"{problem.title}: {problem.detail}",
+        change_id,
+        problem.present_version,
+        problem.findings,
+    )
+
+
+def _show(reply: Reply) -> tuple[Exit, Result]:
+    if reply.status != 200:
+        return _refusal(reply)
+    return Exit.OK, Result("ok", body=msgspec.Raw(reply.body))
+
+
+def _print(result: Result, output: str) -> None:
+    is_page = bytes(result.body) != b"null"
+    if is_page:
+        body = msgspec.json.format(bytes(result.body), indent=2)
+        print(body.decode() if output == "json" else _page_text(result.body))
+    elif output == "json":
+        print(msgspec.json.encode(result).decode())
+    else:
+        print(result.text())
+
+
+def _page_text(body: msgspec.Raw) -> str:
+    """Return a page as indented lines, one item of a list on each."""
+    page = msgspec.json.decode(body)
+    if isinstance(page, list):
+        page = {"records": page}
+    lines = []
+    for key, value in page.items():
+        if isinstance(value, list):
+            lines.append(f"{key}: {len(value)}")
+            lines += [f"  {_line(item)}" for item in value]
+        else:
+            lines.append(f"{key}: {_line(value)}")
+    return "\n".join(lines)
+
+
+def _line(item: typing.Any) -> str:
+    if not isinstance(item, dict):
+        return str(item)
+    return " ".join(f"{key}={value}" for key, value in item.items())
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="flamingocleat-ctl", description="Operators' command line."
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    made: dict[str, argparse.ArgumentParser] = {}
+    for name, function in _COMMANDS.items():
+        made[name] = commands.add_parser(name, help=function.__doc__)
+        made[name].add_argument(
+            "--output", choices=["text", "json"], default="text"
+        )
+        made[name].add_argument("--settings", metavar="FILE")
+        made[name].add_argument(
+            "--control", metavar="HOST:PORT", action="append"
+        )
+        made[name].add_argument("--key-file", metavar="FILE")
+        made[name].add_argument("--timeout", metavar="S", type=float)
+    for name in ("validate", "diff", "submit"):
+        made[name].add_argument("file")
+    made["submit"].add_argument("--base-version", type=int, required=True)
+    made["audit"].add_argument("--after", type=int, default=0)
+    made["audit"].add_argument("--limit", type=int, default=100)
+    for name in ("drain", "undrain"):
+        made[name].add_argument("vm")
+    made["replace-voter"].add_argument("old")
+    made["replace-voter"].add_argument("new")
+    made["replace-voter"].add_argument("--address", required=True)
+    for name in ("submit", "drain", "undrain", "replace-voter"):
+        made[name].add_argument("--change-id")
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command; return its exit code."""
+    arguments = _parser().parse_args(argv)
+    try:
+        code, result = _COMMANDS[arguments.command](arguments)
+    except errors.DocumentError as error:
+        code = Exit.FINDINGS
+        result = Result("findings", findings=tuple(error.findings))
+    except _UsageError as error:
+        code, result = Exit.USAGE, Result("usage", str(error))
+    except errors.UnavailableError as error:
+        code, result = Exit.UNAVAILABLE, Result("unavailable", str(error))
+    _print(result, arguments.output)
+    return int(code)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/flamingocleat/process/operators.py
+++ b/src/flamingocleat/process/operators.py
@@ -11,7 +11,6 @@
 import functools
 import hashlib
 import hmac
-import ipaddress
 import logging
 import re
 import threading
@@ -29,6 +28,7 @@
 from flamingocleat.process import health as health_module
 from flamingocleat.process import leadership as leadership_module
 from flamingocleat.process import logs
+from flamingocleat.process import pages
 from flamingocleat.process import settings as settings_module
 from flamingocleat.process import shutdown as shutdown_module
 from flamingocleat.version import difference
@@ -50,106 +50,22 @@
 BOOTSTRAP = ids.OperatorId("(bootstrap)")
 """Cannot be declared as an operator, since it is not a valid name."""
 
-_TOKEN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
-
 T = typing.TypeVar("T")
 
 
-class ProblemDocument(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Body of a refusal (RFC 9457); the last three are extensions."""
-
-    title: str
-    status: int
-    detail: str
-    outcome: str
-    """not-run or unknown."""
-    findings: tuple[errors.Finding, ...] = ()
-    present_version: int | None = None
-
-
 class ProblemError(errors.FlamingocleatError):
     """A request is refused, or its outcome is unknown."""
 
     def __init__(
-        self, problem: ProblemDocument, headers: dict[str, str] | None = None
+        self,
+        problem: pages.ProblemDocument,
+        headers: dict[str, str] | None = None,
     ) -> None:
         super().__init__(f"{problem.title}: {problem.detail}")
         self.problem = problem
         self.headers = headers or {}
 
 
-class Replacement(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
-):
-    """Body of a request to replace a voter: the new one."""
-
-    voter: ids.VoterId
-    address: str
-    """gRPC address, host:port."""
-
-
-class ChangeReply(msgspec.Struct, frozen=True):
-    """Body of the answer to an accepted change."""
-
-    change_id: str
-    version: int
-
-
-class EntryLine(msgspec.Struct, frozen=True):
-    """One connected entry on the status page."""
-
-    entry: str
-    data_centre: str
-    confirmed_version: int
-    in_flight: int
-    silent_ms: int
-
-
-class VmLine(msgspec.Struct, frozen=True):
-    """One live VM on the status page."""
-
-    vm: str
-    incarnation: str
-    data_centre: str
-    fabric_domain: str
-    kind: str
-    service: str
-    state: str
-    fence: int
-    serving: bool
-    leaving: bool
-    silent_ms: int
-
-
-class GroupLine(msgspec.Struct, frozen=True):
-    """One assigned group on the status page."""
-
-    group: str
-    service: str
-    model: str
-    fence: int
-    members: tuple[str, ...]
-    serving: bool
-
-
-class StatusPage(msgspec.Struct, frozen=True):
-    """The leader's view of the system."""
-
-    voter: str
-    term: int
-    applied_index: int
-    voters: dict[str, str]
-    version: int
-    in_force: bool
-    """True if each connected entry has confirmed the version."""
-    settled: bool
-    """False while a new leader waits for agents to announce themselves."""
-    entries: tuple[EntryLine, ...]
-    vms: tuple[VmLine, ...]
-    groups: tuple[GroupLine, ...]
-    drained: tuple[str, ...]
-
-
 class Operators:
     """What the pages do; called from the threads of the HTTP server."""
 
@@ -159,7 +75,7 @@
         consensus: consensus_module.Consensus,
         machine: machine_module.Machine,
         leadership: leadership_module.Leadership,
-        status: collections.abc.Callable[[], StatusPage],
+        status: collections.abc.Callable[[], pages.StatusPage],
         calls: shutdown_module.Shutdown,
     ) -> None:
         self.settings = settings
@@ -172,7 +88,7 @@
 
     # Reads.
 
-    def read_status(self, key: str) -> StatusPage:
+    def read_status(self, key: str) -> pages.StatusPage:
         """Return the status page."""
         self.authorise(key)
         return self.run(self._confirmed(self.status))
@@ -201,7 +117,7 @@
 
     def submit(
         self, key: str, base_version: int, change_id: str, text: str
-    ) -> ChangeReply:
+    ) -> pages.ChangeReply:
         """Submit a configuration."""
         operator = self.authorise(key, change_id)
         configuration = validation.check(text, "configuration")
@@ -220,7 +136,7 @@
 
     def drain(
         self, key: str, change_id: str, vm: str, drained: bool
-    ) -> ChangeReply:
+    ) -> pages.ChangeReply:
         """Drain a VM, or end its drain."""
         operator = self.authorise(key, change_id)
         return self._change(
@@ -234,8 +150,8 @@
         )
 
     def replace_voter(
-        self, key: str, change_id: str, old: str, new: Replacement
-    ) -> ChangeReply:
+        self, key: str, change_id: str, old: str, new: pages.Replacement
+    ) -> pages.ChangeReply:
         """Replace a voter by one with a new voter id."""
         operator = self.authorise(key, change_id)
         return self._change(
@@ -287,7 +203,7 @@
         command: machine_module.SubmitConfiguration
         | machine_module.DrainVm
         | machine_module.ReplaceVoter,
-    ) -> ChangeReply:
+    ) -> pages.ChangeReply:
         outcome = self.run(self._propose(command))
         logs.info(
             _log,
@@ -300,10 +216,10 @@
             reason=outcome.reason,
         )
         if outcome.decision is machine_module.Decision.ACCEPTED:
-            return ChangeReply(command.change_id, outcome.version)
+            return pages.ChangeReply(command.change_id, outcome.version)
         status, title = _REFUSALS[outcome.decision]
         raise ProblemError(
-            ProblemDocument(
+            pages.ProblemDocument(
                 title,
                 status,
                 outcome.reason,
@@ -362,7 +278,7 @@
     headers: dict[str, str] | None = None,
 ) -> ProblemError:
     return ProblemError(
-        ProblemDocument(title, status, detail, outcome), headers
+        pages.ProblemDocument(title, status, detail, outcome), headers
     )
 
 
@@ -408,7 +324,7 @@
         return error
     if isinstance(error, errors.DocumentError):
         return ProblemError(
-            ProblemDocument(
+            pages.ProblemDocument(
                 "Document has findings",
                 422,
                 f"{len(error.findings)} findings",
@@ -455,7 +371,7 @@
 
 def _change_id() -> str:
     change_id = cherrypy.request.headers.get("Change-Id", "")
-    if not _TOKEN.fullmatch(change_id):
+    if not pages.TOKEN.fullmatch(change_id):
         raise _problem(
             400,
             "Malformed request",
@@ -521,7 +437,7 @@
         return text.encode()
 
     @_answer
-    def POST(self) -> ChangeReply:  # noqa: N802
+    def POST(self) -> pages.ChangeReply:  # noqa: N802
         text = _body()
         base_version = _number(
             "Base-Version",
@@ -534,7 +450,7 @@
 
 class _Status(_Page):
     @_answer
-    def GET(self) -> StatusPage:  # noqa: N802
+    def GET(self) -> pages.StatusPage:  # noqa: N802
         return self.operators.read_status(_key())
 
 
@@ -552,15 +468,15 @@
 
 class _Drain(_Page):
     @_answer
-    def POST(self, vm: str) -> ChangeReply:  # noqa: N802
+    def POST(self, vm: str) -> pages.ChangeReply:  # noqa: N802
         return self._drain(vm, True)
 
     @_answer
-    def DELETE(self, vm: str) -> ChangeReply:  # noqa: N802
+    def DELETE(self, vm: str) -> pages.ChangeReply:  # noqa: N802
         return self._drain(vm, False)
 
-    def _drain(self, vm: str, drained: bool) -> ChangeReply:
-        if not _TOKEN.fullmatch(vm):
+    def _drain(self, vm: str, drained: bool) -> pages.ChangeReply:
+        if not pages.TOKEN.fullmatch(vm):
             raise _problem(400, "Malformed request", "not a VM's name")
         return self.operators.drain(_key(), _change_id(), vm, drained)
 
@@ -573,9 +489,11 @@
 
 class _VoterReplacement(_Page):
     @_answer
-    def POST(self, voter: str) -> ChangeReply:  # noqa: N802
-        new = document.parse(_body(), "body", Replacement)
-        if not _TOKEN.fullmatch(new.voter) or not is_address(new.address):
+    def POST(self, voter: str) -> pages.ChangeReply:  # noqa: N802
+        new = document.parse(_body(), "body", pages.Replacement)
+        if not pages.TOKEN.fullmatch(new.voter) or not pages.is_address(
+            new.address
+        ):
             raise _problem(
                 400,
                 "Malformed request",
@@ -625,23 +543,13 @@
         self.metrics = _HealthPage(health, "/metrics")
 
 
-def is_address(text: str) -> bool:
-    """Return whether the text is an IP number, a colon and a port."""
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        return 0 < int(port) < 65536
-    except ValueError:
-        return False
-
-
 def _error_page(
     status: str, message: str, traceback: str, version: str
 ) -> bytes:
     cherrypy.response.headers["Content-Type"] = "application/problem+json"
     code, _, title = status.partition(" ")
     return msgspec.json.encode(
-        ProblemDocument(title, int(code), message, "not-run")
+        pages.ProblemDocument(title, int(code), message, "not-run")
     )
 
 
