--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -188,6 +188,9 @@
     loaded: tuple[str, ...] = ()
     """Models in memory, as model@version."""
     load: Load = Load()
+    in_flight: int = 0
+    """Calls that this agent is passing on. Control releases the group of a
+    leaving VM once its lead has none."""
 
 
 class AgentOrder(Message, frozen=True, omit_defaults=True):
@@ -227,6 +230,8 @@
     data_centre: ids.DataCentreId
     confirmed_version: ids.ConfigurationVersion
     in_flight: int = 0
+    sequence: int = 0
+    """Counts the statuses on one stream, from 1."""
 
 
 class ClusterView(Message, frozen=True, omit_defaults=True):
@@ -240,6 +245,9 @@
     configuration: schema.Configuration | None = None
     backends: tuple[BackendView, ...] | None = None
     entry_count: int = 1
+    echo: int = 0
+    """Sequence of the last EntryStatus that control had received before
+    the quorum round began; 0 if control does not tell."""
 
 
 # Register of non-repeatable calls.
@@ -314,6 +322,9 @@
     group: ids.GroupId
     fence: ids.FencingNumber
     sequence: int
+    drained: bool = False
+    """A member is leaving, and the lead neither takes calls nor has any in
+    flight, so the member may stop."""
 
 
 class Pong(Message, frozen=True, omit_defaults=True):
