--- a/src/flamingocleat/connection/session.py
+++ b/src/flamingocleat/connection/session.py
@@ -164,7 +164,7 @@
                 state=agent.status.state,
                 fence=agent.status.fence,
                 leaving=agent.status.leaving or agent.status.vm in drained,
-                busy=agent.status.serving and agent.status.load.running > 0,
+                busy=agent.status.in_flight > 0,
                 alive_since_s=agent.since_s,
                 losses_s=tuple(self.losses.get(agent.status.vm, ())),
             )
@@ -267,4 +267,4 @@
 
 
 def _without_load(status: messages.AgentStatus) -> messages.AgentStatus:
-    return msgspec.structs.replace(status, load=messages.Load())
+    return msgspec.structs.replace(status, load=messages.Load(), in_flight=0)
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -100,7 +100,7 @@
 
 
 class CtlSettings(
-    Settings, frozen=True, forbid_unknown_fields=True, kw_only=True
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
     """Settings of flamingocleat-ctl."""
 
--- /dev/null
+++ b/tests/test_settings_page.py
@@ -0,0 +1,45 @@
+"""The reference of settings must agree with the code."""
+
+import pathlib
+import re
+
+import msgspec
+import pytest
+
+from flamingocleat.process import settings
+from flamingocleat.version import schema
+
+_PAGE = pathlib.Path(__file__).parent.parent / "docs" / "settings.md"
+_ROW = re.compile(r"\| `(\w+)` \| [^|]+ \| `?([^|]*?)`? \| [^|]+ \|")
+
+
+def _structs() -> list[type]:
+    found = [
+        value
+        for module in (settings, schema)
+        for value in vars(module).values()
+        if isinstance(value, type) and issubclass(value, msgspec.Struct)
+    ]
+    return [s for s in found if s not in (settings.Settings, schema.Section)]
+
+
+def _in_code(struct: type) -> dict[str, str]:
+    return {
+        field.encode_name: "required"
+        if field.required
+        else msgspec.json.encode(
+            field.default_factory()
+            if field.default is msgspec.NODEFAULT
+            else field.default
+        ).decode()
+        for field in msgspec.structs.fields(struct)
+    }
+
+
+@pytest.mark.parametrize("struct", _structs(), ids=lambda s: s.__name__)
+def test_page_has_each_key_with_its_default(struct):
+    """An operator would set a key that is not there, or miss one."""
+    page = _PAGE.read_text(encoding="utf-8")
+    _, _, after = page.partition(f"(`{struct.__name__}`)\n")
+    table = after.partition("\n## ")[0]
+    assert dict(_ROW.findall(table)) == _in_code(struct)
