Complete the weighted placement policy and measure it

Cause: `weighted` kept no spares, moved no group to a new model version and was neither tested nor measured.

A donor rule by the fewest accelerators left was replaced by value per missing VM, which is the rule for targets too. Assigning a group before its members have the weights was ruled out because a lost VM often returns first.

--- a/src/flamingocleat/version/placement.py
+++ b/src/flamingocleat/version/placement.py
@@ -24,6 +24,9 @@
 """Bounds the hold-out, so that a VM which was fixed comes back in use."""
 LOSS_WINDOW_S = 3600.0
 """Losses before this are forgotten."""
+MERGE_PATIENCE_S = 60.0
+"""A rebooted VM is usually back within a minute; merging groups of different
+models costs a load, which is wasted if the lost VM returns first."""
 REFORM_PAUSE_S = 30.0
 """A serving group is not re-formed for a straggler within this time of its
 last assignment; its slow start looks like a straggler."""
@@ -80,6 +83,8 @@
     """Loads that were ordered and not seen complete."""
     formed_s: tuple[tuple[ids.GroupId, float], ...] = ()
     """When groups were last assigned."""
+    unserved_s: tuple[tuple[ids.GroupId, float], ...] = ()
+    """Since when groups have had no whole assignment."""
     loads_at_once: int = LOADS_AT_ONCE
 
 
@@ -90,6 +95,9 @@
     released: tuple[ids.GroupId, ...] = ()
     preloads: tuple[Preload, ...] = ()
     """All standing orders to unassigned VMs, not only new ones."""
+    draining: tuple[ids.GroupId, ...] = ()
+    """Groups that are to take no new work; they are released or formed anew
+    once their lead is no longer busy."""
     history: History = History()
     again_s: float | None = None
     """When the plan may change with no other event, or None."""
@@ -133,7 +141,9 @@
         self.broken: dict[ids.GroupId, tuple[VmView, ...]] = {}
         self.owner: dict[ids.VmId, ids.GroupId] = {}
         self.new: dict[ids.GroupId, NewAssignment] = {}
+        self.stale: set[ids.GroupId] = set()
         self.released: list[ids.GroupId] = []
+        self.draining: list[ids.GroupId] = []
         self.preloads: dict[ids.VmId, Preload] = {}
         self.again_s: float | None = None
         for assignment in sorted(assignments, key=lambda a: a.group):
@@ -161,6 +171,7 @@
             self._set_free(vm)
         for vm in self.whole.pop(target.group, ()):
             self._set_free(vm)
+        self.stale.discard(target.group)
         for vm in members:
             self.free[vm.fabric_domain].pop(vm.vm, None)
             self.preloads.pop(vm.vm, None)
@@ -186,6 +197,16 @@
         if group in self.current and group not in self.released:
             self.released.append(group)
 
+    def retire(self, group: ids.GroupId) -> None:
+        """Release a serving group, once it has no requests in flight."""
+        members = self.whole[group]
+        if members[0].busy:
+            self.draining.append(group)
+            return
+        self.broken[group] = self.whole.pop(group)
+        self.stale.discard(group)
+        self.release(group)
+
     def preload(self, vm: VmView, model: str) -> None:
         """Order an unassigned VM to load a model."""
         self.preloads[vm.vm] = Preload(vm.vm, vm.incarnation, model)
@@ -198,6 +219,7 @@
             if group in self.whole and self.now_s - at_s < REFORM_PAUSE_S
         }
         formed.update((group, self.now_s) for group in self.new)
+        unserved = dict(self.history.unserved_s)
         preloads = tuple(self.preloads[vm] for vm in sorted(self.preloads))
         return Plan(
             assignments=tuple(self.new[group] for group in sorted(self.new)),
@@ -205,6 +227,7 @@
                 g for g in sorted(self.released) if g not in self.new
             ),
             preloads=preloads,
+            draining=tuple(sorted(self.draining)),
             history=History(
                 preloads=tuple(
                     order
@@ -212,6 +235,10 @@
                     if order.model not in self.vms[order.vm].loaded
                 ),
                 formed_s=tuple(sorted(formed.items())),
+                unserved_s=tuple(
+                    (target.group, unserved.get(target.group, self.now_s))
+                    for target in self.unserved()
+                ),
                 loads_at_once=self.history.loads_at_once,
             ),
             again_s=self.again_s,
@@ -232,17 +259,27 @@
             if member.vm in self.vms
             and self.vms[member.vm].incarnation == member.incarnation
         ]
+        complete = len(members) == len(assignment.members)
+        busy = complete and members[0].busy
         if target is None or not _fits(target, assignment, members):
-            self.released.append(group)
-            return
-        staying = [vm for vm in members if not vm.leaving]
-        if len(staying) == target.spec.vms_per_replica:
-            self.whole[group] = tuple(staying)
-        elif len(members) == target.spec.vms_per_replica and members[0].busy:
             # Planned stop: the requests in flight are finished first.
+            if not busy:
+                self.released.append(group)
+                return
+            self.draining.append(group)
+        staying = tuple(vm for vm in members if not vm.leaving)
+        if complete and len(staying) == len(members):
+            self.whole[group] = staying
+            if target is not None and not _is_current(target, assignment):
+                self.stale.add(group)
+        elif busy:
             self.whole[group] = tuple(members)
+            self.draining.append(group)
+        elif target is not None and not _is_current(target, assignment):
+            self.released.append(group)
+            return
         else:
-            self.broken[group] = tuple(staying)
+            self.broken[group] = staying
         for vm in members:
             self.owner[vm.vm] = group
 
@@ -300,12 +337,15 @@
 @policy("none")
 def wait_for_return(survey: Survey) -> None:
     """Form missing groups once; a broken group waits for its own VMs."""
+    _retire_stale(survey)
     for target in survey.unserved():
         if target.group in survey.broken:
             listed = survey.current[target.group].members
             members = [survey.vms.get(member.vm) for member in listed]
             back = [vm for vm in members if vm is not None and not vm.leaving]
-            if len(back) == target.spec.vms_per_replica:
+            back = _allowed(target, back)
+            domains = {vm.fabric_domain for vm in back}
+            if len(back) == len(listed) and len(domains) == 1:
                 survey.assign(target, back)
             continue
         _form_anywhere(survey, target)
@@ -314,6 +354,7 @@
 @policy("greedy")
 def first_fit(survey: Survey) -> None:
     """Complete each group in turn with the first free VMs that fit."""
+    _retire_stale(survey)
     for target in survey.unserved():
         left = survey.broken.get(target.group, ())
         if left:
@@ -325,6 +366,11 @@
         _form_anywhere(survey, target)
 
 
+def _retire_stale(survey: Survey) -> None:
+    for group in sorted(survey.stale):
+        survey.retire(group)
+
+
 def _form_anywhere(survey: Survey, target: Target) -> None:
     for domain in sorted(survey.free):
         found = _allowed(target, survey.free[domain].values())
@@ -340,9 +386,10 @@
 
 
 class _Option(msgspec.Struct, frozen=True):
-    """A way to complete a group: its members and how many must load."""
+    """A way to complete a group: its members and what they cost."""
 
-    loads: int
+    loads: float
+    """Loads to wait for; one under way counts half."""
     elsewhere: bool
     left_over: int
     domain: ids.FabricDomainId
@@ -350,12 +397,18 @@
 
 
 class _Repair:
-    """The steps of the `weighted` policy on one survey."""
+    """The steps of the `weighted` policy on one survey.
+
+    A group is assigned only once all its members have the weights. Until
+    then free VMs are ordered to load them, which gives nothing up: if a
+    lost VM returns first, the group is formed with it at once.
+    """
 
     def __init__(self, survey: Survey) -> None:
         self.survey = survey
         weights = survey.configuration.policy
-        self.prefers_uptime = weights.downtime_weight > weights.stranded_weight
+        total = weights.downtime_weight + weights.stranded_weight
+        self.uptime_part = weights.downtime_weight / total if total else 0.5
         self.loading = {
             order.vm: order.model
             for order in survey.history.preloads
@@ -372,25 +425,77 @@
                 survey.wake(until_s)
 
     def run(self) -> None:
-        """Repair, merge, load, replace stragglers, keep spares."""
-        self._repair_loaded(merge=False)
-        self._repair_loaded(merge=True)
+        """Repair, merge, replace, load for groups and keep spares."""
+        self._form_loaded()
+        self._merge()
         self._replace_stragglers()
         self._upgrade()
-        self._load_for_groups()
-        self._keep_spares()
+        slots = self._free_slots()
+        slots = self._load_for_groups(slots)
+        self._load_spares(slots)
         self._keep_loaded()
 
-    def _repair_loaded(self, merge: bool) -> None:
-        """Form every group that needs no load."""
-        progress = True
-        while progress:
-            progress = False
+    def _form_loaded(self) -> None:
+        """Form every group that needs neither a load nor a donor."""
+        supply = self._supply(donors=False)
+        for target in self._by_value():
+            option = self._best(target, self._domains(target, supply), {})
+            if option is not None and not option.loads:
+                self.survey.assign(target, option.members)
+
+    def _merge(self) -> None:
+        """Form groups from the members of several broken ones."""
+        survey = self.survey
+        for _ in range(len(survey.broken)):
+            supply = self._supply(donors=True)
             for target in self._by_value():
-                option = self._best_option(target, merge, loaded=True)
-                if option is not None:
-                    self.survey.assign(target, option.members)
-                    progress = merge
+                domains = self._domains(target, supply)
+                if not domains:
+                    continue
+                donors = self._donors(target, domains)
+                option = self._best(target, domains, donors)
+                if option is not None and not option.loads:
+                    survey.assign(target, option.members)
+                    break
+            else:
+                return
+            # What the donors have left may complete another group.
+            self._form_loaded()
+
+    def _supply(
+        self, donors: bool
+    ) -> dict[ids.FabricDomainId, collections.Counter[str]]:
+        """Count VMs by domain and loaded model, an upper bound of use."""
+        supply: dict[ids.FabricDomainId, collections.Counter[str]] = {}
+        for domain, free in self.survey.free.items():
+            for vm in free.values():
+                count = supply.setdefault(domain, collections.Counter())
+                count.update(vm.loaded)
+        for left in self.survey.broken.values() if donors else ():
+            for vm in left:
+                count = supply.setdefault(
+                    vm.fabric_domain, collections.Counter()
+                )
+                count.update(vm.loaded)
+        return supply
+
+    def _domains(
+        self,
+        target: Target,
+        supply: dict[ids.FabricDomainId, collections.Counter[str]],
+    ) -> list[ids.FabricDomainId]:
+        """Return where a target may have enough loaded VMs."""
+        size = target.spec.vms_per_replica
+        domains = {
+            domain
+            for domain, count in supply.items()
+            if count[target.model] >= size
+        }
+        domains.update(
+            vm.fabric_domain
+            for vm in self.survey.broken.get(target.group, ())[:1]
+        )
+        return sorted(domains)
 
     def _by_value(self) -> list[Target]:
         """Return unserved targets, the most valuable first.
@@ -401,7 +506,9 @@
         """
         survey = self.survey
         served = collections.Counter(
-            survey.targets[group].spec.service for group in survey.whole
+            survey.targets[group].spec.service
+            for group in survey.whole
+            if group in survey.targets
         )
         wanted = collections.Counter(
             target.spec.service for target in survey.targets.values()
@@ -409,42 +516,47 @@
 
         def key(target: Target) -> tuple[float, float, ids.GroupId]:
             service = target.spec.service
-            left = len(survey.broken.get(target.group, ()))
-            missing = target.spec.vms_per_replica - left
-            worth = target.value / max(1, missing)
-            return (served[service] / wanted[service], -worth, target.group)
+            part = served[service] / wanted[service]
+            return (part, -self._worth(target), target.group)
 
         return sorted(survey.unserved(), key=key)
 
-    def _best_option(
-        self, target: Target, merge: bool, loaded: bool
+    def _worth(self, target: Target) -> float:
+        """Return a group's value for each VM that it lacks."""
+        left = len(self.survey.broken.get(target.group, ()))
+        return target.value / max(1, target.spec.vms_per_replica - left)
+
+    def _best(
+        self,
+        target: Target,
+        domains: collections.abc.Iterable[ids.FabricDomainId],
+        donors: dict[ids.FabricDomainId, list[VmView]],
     ) -> _Option | None:
         """Return the option with the fewest loads, own domain first."""
         left = self.survey.broken.get(target.group, ())
         home = left[0].fabric_domain if left else None
-        donors = self._donors(target) if merge else {}
-        best: _Option | None = None
-        for domain in sorted({*self.survey.free, *donors}):
-            option = self._option(
-                target,
-                domain,
-                left if domain == home else (),
-                donors.get(domain, []),
-                loaded,
+        options = [
+            option
+            for domain in domains
+            if (
+                option := self._option(
+                    target,
+                    domain,
+                    left if domain == home else (),
+                    donors.get(domain, []),
+                )
             )
-            if option is None:
-                continue
-            if best is None or self._rank(option) < self._rank(best):
-                best = option
-        return best
-
-    def _rank(self, option: _Option) -> tuple[int, bool, int, str]:
-        # Against stranding, the tightest fit keeps large gaps usable; for
-        # uptime, the domain that keeps the most free VMs for later losses.
-        fit = option.left_over
-        if self.prefers_uptime:
-            fit = -fit
-        return (option.loads, option.elsewhere, fit, option.domain)
+        ]
+        return min(options, key=self._rank, default=None)
+
+    def _rank(self, option: _Option) -> tuple[float, bool, int, str]:
+        # The tightest fit keeps large gaps for groups that need them.
+        return (
+            option.loads,
+            option.elsewhere,
+            option.left_over,
+            option.domain,
+        )
 
     def _option(
         self,
@@ -452,7 +564,6 @@
         domain: ids.FabricDomainId,
         left: collections.abc.Sequence[VmView],
         donated: collections.abc.Sequence[VmView],
-        loaded: bool,
     ) -> _Option | None:
         size = target.spec.vms_per_replica
         free = self.survey.free.get(domain, {})
@@ -461,60 +572,69 @@
         fresh = [
             vm
             for vm in _allowed(target, free.values())
-            if vm.vm not in self.held and not vm.straggler
+            if vm.vm not in self.held
+            and not vm.straggler
+            and self.loading.get(vm.vm, target.model) == target.model
         ]
         fresh.sort(key=lambda vm: self._readiness(target, vm))
         steady = [vm for vm in left if not vm.straggler]
         slow = [vm for vm in left if vm.straggler]
         taken = [vm for vm in donated if not vm.straggler]
-        ready = [vm for vm in fresh if target.model in vm.loaded]
-        cold = [vm for vm in fresh if target.model not in vm.loaded]
-        if loaded:
-            cold = []
-            taken = [vm for vm in taken if target.model in vm.loaded]
-        members = (*steady, *ready, *slow, *taken, *cold)[:size]
+        # Sorting by need of a load keeps the order within each kind.
+        members = sorted(
+            (*steady, *fresh, *slow, *taken),
+            key=lambda vm: target.model not in vm.loaded,
+        )[:size]
         if len(members) < size:
             return None
-        loads = sum(target.model not in vm.loaded for vm in members)
-        if loaded and loads > sum(target.model not in v.loaded for v in left):
-            return None
         return _Option(
-            loads=loads,
+            loads=sum(self._load_cost(target, vm) for vm in members),
             elsewhere=not left,
             left_over=len(fresh) - size,
             domain=domain,
-            members=members,
+            members=tuple(members),
         )
 
+    def _load_cost(self, target: Target, vm: VmView) -> float:
+        if target.model in vm.loaded:
+            return 0.0
+        if self.loading.get(vm.vm) == target.model:
+            return 0.5
+        return 1.0
+
     def _readiness(
         self, target: Target, vm: VmView
-    ) -> tuple[bool, bool, bool, int, ids.VmId]:
+    ) -> tuple[float, bool, int, ids.VmId]:
         """Sort VMs: loaded, loading, without another model's weights."""
-        other = self.loading.get(vm.vm, target.model) != target.model
         return (
-            target.model not in vm.loaded,
-            self.loading.get(vm.vm) != target.model,
-            other or any(model in self.survey.models for model in vm.loaded),
+            self._load_cost(target, vm),
+            any(model in self.survey.models for model in vm.loaded),
             len(vm.losses_s),
             vm.vm,
         )
 
-    def _donors(self, target: Target) -> dict[ids.FabricDomainId, list[VmView]]:
+    def _donors(
+        self,
+        target: Target,
+        domains: collections.abc.Collection[ids.FabricDomainId],
+    ) -> dict[ids.FabricDomainId, list[VmView]]:
         """Return members of other broken groups, the first donor first.
 
-        For uptime, the group that is furthest from whole gives first, which
-        leaves the most groups nearly whole. Against stranding, the group
-        with the fewest accelerators left gives first.
+        The group that is worth least per missing VM gives first: for
+        uptime the one furthest from whole, which leaves the most groups
+        nearly whole; against stranding also the smaller one.
         """
         survey = self.survey
-        groups = [g for g in survey.broken if g != target.group]
+        groups = [
+            group
+            for group, left in survey.broken.items()
+            if group != target.group
+            and left
+            and left[0].fabric_domain in domains
+        ]
 
         def key(group: ids.GroupId) -> tuple[float, ids.GroupId]:
-            left = survey.broken[group]
-            if self.prefers_uptime:
-                size = survey.targets[group].spec.vms_per_replica
-                return (len(left) - size, group)
-            return (sum(vm.accelerators for vm in left), group)
+            return (self._worth(survey.targets[group]), group)
 
         donors: dict[ids.FabricDomainId, list[VmView]] = {}
         for group in sorted(groups, key=key):
@@ -523,64 +643,162 @@
         return donors
 
     def _replace_stragglers(self) -> None:
-        """Swap a straggler for a loaded spare in the same domain."""
+        """Swap stragglers for loaded spares in the same domain."""
         survey = self.survey
         recent = dict(survey.history.formed_s)
         for group in sorted(survey.whole):
             members = survey.whole[group]
-            slow = [vm for vm in members if vm.straggler]
-            if not slow or group in survey.new:
+            slow = [vm.vm for vm in members if vm.straggler]
+            if not slow or group in survey.new or group in survey.stale:
                 continue
-            formed_s = recent.get(group, -math.inf)
-            if survey.now_s - formed_s < REFORM_PAUSE_S:
-                survey.wake(formed_s + REFORM_PAUSE_S)
+            if group in survey.draining:
                 continue
-            target = survey.targets[group]
-            free = survey.free[members[0].fabric_domain]
-            ready = [
-                vm
-                for vm in _allowed(target, free.values())
-                if target.model in vm.loaded
-                and vm.vm not in self.held
-                and not vm.straggler
-            ]
+            ready = self._spares(survey.targets[group], members[0])
             if not ready:
                 continue
-            swaps = dict(zip([vm.vm for vm in slow], ready, strict=False))
+            again_s = recent.get(group, -math.inf) + REFORM_PAUSE_S
+            if survey.now_s < again_s:
+                survey.wake(again_s)
+                continue
+            swaps = dict(zip(slow, ready, strict=False))
+            target = survey.targets[group]
             survey.assign(target, [swaps.get(vm.vm, vm) for vm in members])
 
+    def _spares(self, target: Target, member: VmView) -> list[VmView]:
+        """Return the loaded free VMs in a member's domain."""
+        return [
+            vm
+            for vm in self.survey.free[member.fabric_domain].values()
+            if target.model in vm.loaded
+            and vm.vm not in self.held
+            and not vm.straggler
+        ]
+
     def _upgrade(self) -> None:
-        """Placeholder for groups that run an earlier model version."""
+        """Retire groups of an earlier version, as many as can load at once.
 
-    def _load_for_groups(self) -> None:
-        """Order loads for groups that have enough VMs, within the limit."""
-        slots = self._free_slots()
-        for target in self._by_value():
-            option = self._best_option(target, merge=False, loaded=False)
-            if option is None:
+        None is retired while another group of its kind is down.
+        """
+        survey = self.survey
+        down = {target.spec.name for target in survey.unserved()}
+        retired: collections.Counter[str] = collections.Counter()
+        for group in sorted(survey.stale.difference(survey.draining)):
+            spec = survey.targets[group].spec
+            at_once = survey.history.loads_at_once // spec.vms_per_replica
+            if spec.name in down or retired[spec.name] >= max(1, at_once):
                 continue
-            for vm in option.members:
-                self.survey.free[vm.fabric_domain].pop(vm.vm, None)
-                if target.model in vm.loaded or vm.vm in self.survey.owner:
-                    continue
-                if self.loading.get(vm.vm) == target.model:
-                    self.survey.preload(vm, target.model)
-                elif slots > 0 and vm.vm not in self.loading:
-                    self.survey.preload(vm, target.model)
-                    slots -= 1
+            retired[spec.name] += 1
+            survey.retire(group)
 
     def _free_slots(self) -> int:
         survey = self.survey
         assigned = sum(
             survey.targets[group].model not in vm.loaded
             for group, members in survey.whole.items()
+            if group in survey.targets and group not in survey.stale
             for vm in members
         )
         unassigned = sum(vm not in survey.owner for vm in self.loading)
         return survey.history.loads_at_once - assigned - unassigned
 
-    def _keep_spares(self) -> None:
-        """Load spares in the domains where groups serve."""
+    def _load_for_groups(self, slots: int) -> int:
+        """Order loads for groups that have enough VMs; return slots left."""
+        if slots <= 0:
+            return slots
+        for target in self._by_value():
+            option = self._best(target, sorted(self.survey.free), {})
+            if option is None:
+                option = self._cold_merge(target)
+            if option is None:
+                continue
+            for vm in option.members:
+                # Reserved: no other group and no spare is loaded on it.
+                self.survey.free[vm.fabric_domain].pop(vm.vm, None)
+                if vm.vm in self.survey.owner or vm.vm in self.loading:
+                    continue
+                if target.model not in vm.loaded and slots > 0:
+                    self.survey.preload(vm, target.model)
+                    slots -= 1
+            if slots <= 0:
+                break
+        return slots
+
+    def _cold_merge(self, target: Target) -> _Option | None:
+        """Complete a group from broken groups of another model.
+
+        The donors give up their place, so this waits for lost VMs to come
+        back, the longer the less downtime weighs.
+        """
+        survey = self.survey
+        left = survey.broken.get(target.group, ())
+        if not left:
+            return None
+        since_s = dict(survey.history.unserved_s).get(
+            target.group, survey.now_s
+        )
+        ready_s = since_s + MERGE_PATIENCE_S * (1 - self.uptime_part)
+        domains = [left[0].fabric_domain]
+        donors = self._donors(target, domains)
+        option = self._best(target, domains, donors)
+        if option is None:
+            return None
+        if survey.now_s < ready_s:
+            survey.wake(ready_s)
+            return None
+        for vm in option.members:
+            owner = survey.owner.get(vm.vm)
+            if owner is not None and owner != target.group:
+                survey.release(owner)
+        return option
+
+    def _load_spares(self, slots: int) -> None:
+        """Load spares in the domains where groups serve.
+
+        One load is left to repairs, which cannot interrupt a spare's load.
+        """
+        survey = self.survey
+        if survey.history.loads_at_once > 1:
+            slots -= 1
+        wanted: dict[tuple[ids.FabricDomainId, str], int] = {}
+        for group, members in survey.whole.items():
+            target = survey.targets.get(group)
+            if target is not None:
+                place = (members[0].fabric_domain, target.model)
+                wanted[place] = spares_wanted(target.spec, self.uptime_part)
+        held: collections.Counter[tuple[ids.FabricDomainId, str]]
+        held = collections.Counter()
+        for domain, free in survey.free.items():
+            for vm in free.values():
+                if vm.vm not in self.held and not vm.straggler:
+                    models = {*vm.loaded, self.loading.get(vm.vm, "")}
+                    held.update((domain, model) for model in models)
+        places = [place for place in wanted if held[place] < wanted[place]]
+        for place in sorted(places, key=lambda p: (held[p], p)):
+            domain, model = place
+            for vm in self._idle(domain, model):
+                if slots <= 0 or held[place] >= wanted[place]:
+                    break
+                survey.preload(vm, model)
+                held[place] += 1
+                slots -= 1
+
+    def _idle(self, domain: ids.FabricDomainId, model: str) -> list[VmView]:
+        """Return free VMs with no wanted weights and no load under way."""
+        survey = self.survey
+        allowed = {
+            target.model: target.spec.data_centres
+            for target in survey.targets.values()
+        }
+        return [
+            vm
+            for vm in survey.free[domain].values()
+            if vm.data_centre in allowed[model]
+            and vm.vm not in self.held
+            and vm.vm not in self.loading
+            and vm.vm not in survey.preloads
+            and not vm.straggler
+            and not any(held in survey.models for held in vm.loaded)
+        ]
 
     def _keep_loaded(self) -> None:
         """Repeat standing orders, so that no spare drops its weights."""
@@ -596,6 +814,16 @@
                 survey.preload(vm, kept[0])
 
 
+def spares_wanted(spec: schema.ModelGroup, uptime_part: float) -> int:
+    """Return how many spares to keep loaded in each domain of a group.
+
+    At least the declared number: a free VM is stranded whether loaded or
+    not, and in trials with none loaded both measures were worse. The more
+    downtime weighs, the more are loaded, up to twice the declared number.
+    """
+    return math.ceil(spec.spares * (1 + uptime_part))
+
+
 def held_until(vm: VmView, now_s: float) -> float:
     """Return until when a VM that was lost repeatedly is not used."""
     recent = [at_s for at_s in vm.losses_s if now_s - at_s < LOSS_WINDOW_S]
@@ -637,13 +865,19 @@
     return (
         len(assignment.members) == spec.vms_per_replica
         and assignment.service == spec.service
-        and assignment.model == spec.model
-        and assignment.model_version == spec.model_version
         and all(vm.data_centre in spec.data_centres for vm in members)
         and len({vm.fabric_domain for vm in members}) <= 1
     )
 
 
+def _is_current(target: Target, assignment: messages.Assignment) -> bool:
+    spec = target.spec
+    return (
+        assignment.model == spec.model
+        and assignment.model_version == spec.model_version
+    )
+
+
 def _allowed(
     target: Target, vms: collections.abc.Iterable[VmView]
 ) -> list[VmView]:
