--- a/src/flamingocleat/version/shares.py
+++ b/src/flamingocleat/version/shares.py
@@ -193,10 +193,10 @@
         Returns the estimated wait in seconds of a new request.
         """
         with self.lock:
+            if ticket.ended:
+                return MIN_RETRY_AFTER_S
             pool = self.pools[ticket.service]
             usage = pool.usage[ticket.customer]
-            if ticket.ended:
-                return _retry_after(pool, usage)
             ticket.ended = True
             if ticket.granted.is_set():
                 pool.in_flight -= 1
@@ -205,6 +205,7 @@
                 self._observe(pool, self.clock() - ticket.granted_s)
             else:
                 usage.waiting -= 1
+                _discard_ended(usage)
             self._grant(pool)
             return _retry_after(pool, usage)
 
@@ -248,7 +249,7 @@
 
     def _grant(self, pool: Pool) -> None:
         while pool.in_flight < pool.slots:
-            usage = _next_usage(pool)
+            usage = _next_usage(pool, self.clock())
             if usage is None:
                 return
             _, _, ticket = heapq.heappop(usage.queue)
@@ -267,11 +268,15 @@
         pool.hold_s += HOLD_SMOOTHING * (hold_s - pool.hold_s)
 
 
-def _next_usage(pool: Pool) -> CustomerUsage | None:
+def _next_usage(pool: Pool, now_s: float) -> CustomerUsage | None:
+    """Return the customer whose first request is next, or None.
+
+    Requests past their deadline are passed over; their threads end them.
+    """
     best: CustomerUsage | None = None
     best_key = (math.inf, 0)
     for usage in pool.usage.values():
-        while usage.queue and usage.queue[0][2].ended:
+        while usage.queue and _is_over(usage.queue[0][2], now_s):
             heapq.heappop(usage.queue)
         if not usage.queue:
             continue
@@ -282,6 +287,17 @@
     return best
 
 
+def _is_over(ticket: Ticket, now_s: float) -> bool:
+    return ticket.ended or ticket.deadline_s <= now_s
+
+
+def _discard_ended(usage: CustomerUsage) -> None:
+    """Drop ended tickets, which would pile up below more urgent ones."""
+    if len(usage.queue) > 2 * usage.waiting + MIN_QUEUE:
+        usage.queue = [item for item in usage.queue if not item[2].ended]
+        heapq.heapify(usage.queue)
+
+
 def _backlog(pool: Pool) -> int:
     return sum(usage.waiting for usage in pool.usage.values())
 
