--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -28,6 +28,9 @@
     data_folder: str
     voters: dict[ids.VoterId, str]
     """gRPC addresses of the voters at the first start, this one included."""
+    operators_addresses: dict[ids.VoterId, str] = {}
+    """HTTP addresses for operators of the voters, for redirects to the
+    leader. Without the leader's address, a follower answers 503."""
     snapshot_interval_entries: int = 1000
     bootstrap_key_sha256: str = ""
     """Hex SHA-256 of the operator key that may submit the first version."""
@@ -48,10 +51,27 @@
     """Requests served at once; the size to design for needs some 530."""
     subset_size: int = 16
     """Replicas per service that this entry routes to."""
+    routing_policy: str = "weighted"
     drain_notice_s: float = 5.0
     """Seconds after SIGTERM until the balancer has noticed."""
     max_header_bytes: int = 16_384
+    max_body_bytes: int = 16_777_216
+    """Bound for all services; each service declares its own below it."""
     retry_budget_ratio: float = 0.1
+    connect_timeout_s: float = 1.0
+    """Bound for opening a connection to an agent."""
+    first_byte_timeout_s: float = 15.0
+    """Bound from a stream's dispatch to its first byte; queueing and the
+    prompt's processing take place in this time."""
+    silence_timeout_s: float = 5.0
+    """Bound on the time between bytes of a stream. Tokens are due every
+    39 ms at the 95th percentile, so this is a dead connection."""
+    resume_wait_s: float = 3.0
+    """Time to look for a replica that can continue a broken stream."""
+    max_answer_bytes: int = 16_777_216
+    """Bound for answers that are collected before they are sent."""
+    caller_timeout_s: float = 30.0
+    """Bound on the time that a caller accepts no bytes."""
 
 
 class AgentSettings(
@@ -77,3 +97,16 @@
     """True if the engine refuses orders with an old fencing number."""
     threads: int = 64
     """Calls passed to the backend server at once."""
+
+
+class CtlSettings(
+    Settings, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of flamingocleat-ctl."""
+
+    control: tuple[str, ...]
+    """HTTP addresses for operators of control."""
+    key_file: str
+    """File that holds the operator's bearer key."""
+    timeout_s: float = 30.0
+    """Time in which one command tries to get an answer."""
