Prove the agent's promises against real faults

Cause: the agent served, but nothing showed that it stops serving when it must. Each test states the failure that it guards against.

Found and mended: a key from the future could have outlived the memory of its permit; a hint to a voter that the settings don't name was ignored; AgentStatus.in_flight changed with each call, which control takes for a change of state, so it is now told only while a VM leaves.

--- a/src/flamingocleat/connection/leader.py
+++ b/src/flamingocleat/connection/leader.py
@@ -31,10 +31,19 @@
         if (
             isinstance(error, grpclib.GRPCError)
             and error.status is grpclib.const.Status.FAILED_PRECONDITION
-            and error.message in self.addresses
+            and _is_address(error.message)
         ):
-            self.hint = error.message
+            self.hint = str(error.message)
 
     async def pause(self) -> None:
         """Wait before the next attempt."""
         await asyncio.sleep(random.uniform(0.5, 1.5) * _PAUSE_S)
+
+
+def _is_address(text: str | None) -> bool:
+    """Return whether a hint is host:port.
+
+    It may name a voter that was added after the settings were written.
+    """
+    host, _, port = (text or "").rpartition(":")
+    return bool(host) and port.isdecimal()
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -185,8 +185,8 @@
     """Models in memory, as model@version."""
     load: Load = Load()
     in_flight: int = 0
-    """Calls that this agent is passing on. Control releases the group of a
-    leaving VM once its lead has none."""
+    """Calls that a lead is still passing on while it or a member leaves; 0
+    otherwise. Control may release the group once there are none."""
 
 
 class AgentOrder(Message, frozen=True, omit_defaults=True):
--- a/src/flamingocleat/process/agent.py
+++ b/src/flamingocleat/process/agent.py
@@ -55,6 +55,20 @@
         environ[dispatch.SOCKET_KEY] = self.req.conn.socket
         return environ
 
+    def write(self, chunk: bytes) -> None:
+        """Send one chunk of the answer.
+
+        Chunks of a stream go to the socket directly: cheroot's writer is
+        the pure Python one, whose buffering took a quarter of the time
+        spent on a chunk.
+        """
+        if not self.req.sent_headers:
+            super().write(chunk)
+        elif self.req.chunked_write:
+            self.req.conn.socket.sendall(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        else:
+            self.req.conn.socket.sendall(chunk)
+
 
 class _Server(cheroot.wsgi.Server):
     """HTTP server of the data path."""
@@ -164,7 +178,7 @@
             leaving=self.membership.leaving,
             loaded=self.backend.status.loaded if self.backend.up else (),
             load=self.backend.load(),
-            in_flight=len(self.dispatch.calls),
+            in_flight=len(self.dispatch.calls) if self.leaving() else 0,
         )
 
     def report(self) -> messages.LoadReport:
--- a/src/flamingocleat/request/dispatch.py
+++ b/src/flamingocleat/request/dispatch.py
@@ -498,7 +498,8 @@
 
 
 def _failed(call: Call, error: BaseException) -> gate.RefusedError:
-    status = 504 if isinstance(error, TimeoutError) else 502
+    timeouts = TimeoutError, urllib3.exceptions.TimeoutError
+    status = 504 if isinstance(error, timeouts) else 502
     reason = call.cut or f"backend server failed: {error!r}"
     return gate.RefusedError(status, reason, gate.Outcome.UNKNOWN)
 
--- a/src/flamingocleat/request/gate.py
+++ b/src/flamingocleat/request/gate.py
@@ -15,8 +15,9 @@
 _FUTURE_S = 300.0
 """How far in the future a key's time may be, since clocks differ."""
 _RETENTION_S = KEY_WINDOW_S + 3 * _FUTURE_S
-"""Permits are remembered until their keys are refused for their age, with
-a margin for clocks that differ by up to _FUTURE_S in either direction."""
+"""Permits are remembered until their keys are refused for their age. A key
+may be from the future by _FUTURE_S, and the clocks of control and agent may
+differ by as much."""
 MAX_PERMITS = 100_000
 """Used permits remembered. They are not forgotten to make room: calls with
 new permits are refused instead. Voiding may use as much room again, so that
@@ -169,12 +170,14 @@
     def use(self, permit: ids.PermitId, key: str) -> None:
         """Use the permit of a non-repeatable call, or raise RefusedError.
 
-        A key past its window is refused, since permits of that age may
-        have been forgotten.
+        A key outside its window is refused, since a permit may be
+        forgotten while such a key lives.
         """
-        created_s = key_time_s(key)
-        if self.wall_clock() - created_s > KEY_WINDOW_S + _FUTURE_S:
+        age_s = self.wall_clock() - key_time_s(key)
+        if age_s > KEY_WINDOW_S + _FUTURE_S:
             raise _not_run(400, "key is older than its window")
+        if age_s < -2 * _FUTURE_S:
+            raise _not_run(400, "key is from the future")
         self.permits.use(permit)
 
     def void(
--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -133,7 +133,8 @@
     def wait_serving(self, vm: str, fence: int) -> messages.AgentStatus:
         return wait_until(
             lambda: (
-                (status := self.statuses[vm]).serving
+                (status := self.statuses.get(vm))
+                and status.serving
                 and status.fence == fence
                 and status
             ),
@@ -323,3 +324,48 @@
 def outcome(response: urllib3.BaseHTTPResponse) -> str:
     """Return the outcome that an agent told."""
     return response.headers["Flamingocleat-Outcome"]
+
+
+class Reports:
+    """Watches an agent as an entry does, and mirrors its cache."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.prefixes: set[bytes] = set()
+        self.complete = 0
+        self.loop = asyncio.new_event_loop()
+        self.task = self.loop.create_task(self._watch())
+        self.thread = threading.Thread(target=self._run)
+        self.thread.start()
+
+    def _run(self) -> None:
+        self.loop.run_until_complete(
+            asyncio.gather(self.task, return_exceptions=True)
+        )
+
+    async def _watch(self) -> None:
+        dialled = channel.dial(self.address)
+        try:
+            async with codec.BACKEND_WATCH.open(dialled) as stream:
+                request = messages.BackendWatch(ids.EntryId("entry-1"))
+                await stream.send_message(request, end=True)
+                async for report in stream:
+                    self._apply(report)
+        finally:
+            dialled.close()
+
+    def _apply(self, report: messages.LoadReport) -> None:
+        if report.cache_complete:
+            self.complete += 1
+            self.prefixes.clear()
+        for event in report.cache_events:
+            if event.present:
+                self.prefixes.add(event.prefix)
+            else:
+                self.prefixes.discard(event.prefix)
+
+    def stop(self) -> None:
+        """End the watch."""
+        self.loop.call_soon_threadsafe(self.task.cancel)
+        self.thread.join()
+        self.loop.close()
--- /dev/null
+++ b/tests/test_heartbeat.py
@@ -0,0 +1,157 @@
+"""Freshness of members and the states of an assignment."""
+
+import asyncio
+
+import grpclib
+import grpclib.server
+import pytest
+
+from flamingocleat import messages
+from flamingocleat.connection import codec
+from flamingocleat.connection import heartbeat
+from tests import agent_support
+
+READY = messages.MemberState.READY
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def assignment(fence, *vms, address="127.0.0.1:1"):
+    members = tuple(messages.Member(vm, f"{vm}-run", address) for vm in vms)
+    return messages.Assignment("g/0", fence, "s", "m", "1", members)
+
+
+def pong(fence=5, vm="vm-2", incarnation="vm-2-run", sequence=0, state=READY):
+    return messages.Pong(vm, incarnation, fence, sequence, state)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def lead(clock):
+    return heartbeat.Lead(assignment(5, "vm-1", "vm-2"), clock)
+
+
+@pytest.fixture
+def member(clock):
+    return heartbeat.Membership("vm-2", "vm-2-run", clock)
+
+
+def test_freshness_counts_from_when_the_ping_was_sent(lead, clock):
+    """An answer that was long under way must not prolong freshness."""
+    lead.note(lead.links[0], clock.now - 0.9, pong())
+    assert lead.fresh()
+    clock.now += 0.1
+    assert not lead.fresh()
+
+
+def test_lead_that_was_paused_is_not_fresh(lead, clock):
+    """A paused lead must refuse before any of its tasks has run again."""
+    lead.note(lead.links[0], clock.now, pong())
+    clock.now += 30.0
+    assert not lead.whole()
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        pong(fence=4),
+        pong(fence=6),
+        pong(incarnation="other"),
+        pong(vm="vm-3"),
+        pong(sequence=7),
+        pong(state=messages.MemberState.LOADING),
+        pong(state=messages.MemberState.WAITING),
+    ],
+)
+def test_only_a_matching_answer_makes_fresh(lead, clock, wrong):
+    """A restarted, reassigned or unready member must stop the group."""
+    lead.note(lead.links[0], clock.now, pong())
+    lead.note(lead.links[0], clock.now, wrong)
+    assert not lead.whole()
+
+
+def test_leaving_member_lets_streams_finish(lead, clock):
+    """A planned stop must end new calls but cut no stream."""
+    leaving = pong(state=messages.MemberState.LEAVING)
+    lead.note(lead.links[0], clock.now, leaving)
+    assert lead.whole()
+    assert not lead.fresh()
+
+
+def test_member_waits_after_start_and_change_of_group(member, clock):
+    """The old lead may count this VM as fresh for 1.0 s more."""
+    member.take(assignment(5, "vm-1", "vm-2"))
+    member.loaded = True
+    assert member.state() is messages.MemberState.WAITING
+    clock.now += 1.25
+    assert member.state() is READY
+    member.take(assignment(6, "vm-3", "vm-2"))
+    member.loaded = True
+    clock.now += 1.2
+    assert member.state() is messages.MemberState.WAITING
+    clock.now += 0.1
+    assert member.state() is READY
+
+
+def test_reassigned_member_does_not_answer_the_old_lead(member):
+    """An answer would keep two groups alive with one VM."""
+    member.take(assignment(5, "vm-1", "vm-2"))
+    assert member.answer(messages.Ping("g/0", 5, 1))
+    member.take(assignment(6, "vm-3", "vm-2"))
+    assert member.answer(messages.Ping("g/0", 5, 2)) is None
+    assert member.answer(messages.Ping("g/0", 6, 1)).fence == 6
+
+
+def test_lower_fencing_number_is_ignored(member):
+    """A deposed leader must not bring an old group back."""
+    assert member.take(assignment(5, "vm-1", "vm-2"))
+    assert not member.take(assignment(4, "vm-3", "vm-2"))
+    assert member.fence == 5
+
+
+def test_assignment_of_an_earlier_incarnation_is_ignored(clock):
+    """A restarted agent has no assignment until control makes a new one."""
+    restarted = heartbeat.Membership("vm-2", "second-run", clock)
+    assert not restarted.take(assignment(5, "vm-1", "vm-2"))
+    assert restarted.state() is messages.MemberState.UNASSIGNED
+
+
+def test_lead_dials_anew_after_silence():
+    """A connection that went silent must not keep a live member lost."""
+    streams = []
+
+    async def silent_at_first(stream):
+        streams.append(stream)
+        while (ping := await stream.recv_message()) is not None:
+            if len(streams) > 1:
+                await stream.send_message(pong(sequence=ping.sequence))
+
+    async def run():
+        address = agent_support.free_address()
+        host, port = address.split(":")
+        service = codec.Service({codec.HEARTBEAT: silent_at_first})
+        server = grpclib.server.Server([service], codec=codec.Codec())
+        await server.start(host, int(port))
+        lead = heartbeat.Lead(assignment(5, "vm-1", "vm-2", address=address))
+        fresh = asyncio.Event()
+        lead.changed = lambda: lead.fresh() and fresh.set()
+        task = asyncio.create_task(lead.run())
+        try:
+            await asyncio.wait_for(fresh.wait(), agent_support.WAIT_S)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            server.close()
+            await server.wait_closed()
+
+    asyncio.run(run())
