--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -319,9 +319,9 @@
     follower = agent_support.Control()
     follower.leader_hint = site.control.address
     try:
-        addresses = follower.address, site.control.address
+        only = (follower.address,)
         service = site.standin("plain")
-        site.agent("vm-1", service, kind="plain", control=addresses)
+        site.agent("vm-1", service, kind="plain", control=only)
         site.control.wait_serving("vm-1", 0)
     finally:
         follower.stop()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -109,9 +109,11 @@
     assert outcome(admission.use, "p", newest) is gate.Outcome.NOT_RUN
 
 
-@pytest.mark.parametrize("bad", ["", "k", str(uuid.UUID(int=4 << 76))])
-def test_key_without_a_time_is_refused(bad):
-    """The age of such a key is unknown, so its permit may be forgotten."""
+@pytest.mark.parametrize(
+    "bad", ["", "k", key().replace("-7", "-4", 1), key(age_s=-3600.0)]
+)
+def test_key_without_a_credible_time_is_refused(bad):
+    """Such a key may live for longer than its permit is remembered."""
     assert outcome(plain_gate().use, "p", bad) is gate.Outcome.NOT_RUN
 
 
@@ -136,6 +138,14 @@
     assert admission.holds(5)
 
 
+def test_leaving_plain_service_takes_no_call():
+    """A call must not begin while the agent waits for the last to end."""
+    admission = plain_gate()
+    admission.check(0, "run-1")
+    admission.membership.leaving = True
+    assert outcome(admission.check, 0, "run-1") is gate.Outcome.NOT_RUN
+
+
 class PermitMachine(stateful.RuleBasedStateMachine):
     """Any order of uses, voids, refusals and pauses."""
 
