Add a long run of non-repeatable calls under faults

Ruled out: fewer calls only; a rare fault needs many. Conclusion: to be mended in the entry; a refusal must speak for the key, not only for its own attempt.

--- /dev/null
+++ b/bench/orders.py
@@ -0,0 +1,56 @@
+"""Runs many non-repeatable calls under faults and checks what came of them.
+
+Prints the counts as JSON and exits with 1 if a call ran twice or a refusal
+was false. Not part of the tests for its duration; tests/system/test_orders.py
+runs the same on fewer calls.
+"""
+
+import argparse
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+import msgspec
+
+from examples import local
+from tests.system import test_orders
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run until enough attempts were made; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seed", type=int, default=test_orders.SEED)
+    parser.add_argument("--threads", type=int, default=32)
+    parser.add_argument("--keys-each", type=int, default=200)
+    parser.add_argument("--folder", default="")
+    arguments = parser.parse_args(argv)
+    folder = arguments.folder or tempfile.mkdtemp(prefix="flamingocleat-")
+    deployment = local.Deployment(pathlib.Path(folder))
+    started = time.monotonic()
+    try:
+        verdict = test_orders.run(
+            deployment, arguments.seed, arguments.threads, arguments.keys_each
+        )
+    finally:
+        deployment.kill()
+    share = verdict.unknown / max(1, verdict.attempts)
+    print(
+        json.dumps(
+            {
+                "command": f"python -m bench.orders --seed {arguments.seed} "
+                f"--threads {arguments.threads} "
+                f"--keys-each {arguments.keys_each}",
+                "seconds": round(time.monotonic() - started, 1),
+                "unknown_share": round(share, 4),
+                **msgspec.to_builtins(verdict),
+            },
+            indent=1,
+        )
+    )
+    return 1 if verdict.faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
