--- a/src/flamingocleat/connection/peer.py
+++ b/src/flamingocleat/connection/peer.py
@@ -75,14 +75,26 @@
             async with asyncio.timeout(timeout_s):
                 reply = await call.ask(used, request, timeout_s)
         except FAILURES as error:
-            if not _was_answered(error) and self.channels.get(key) is used:
-                del self.channels[key]
-                used.close()
+            if not _was_answered(error):
+                self._close(key, used)
             raise
+        except Exception as error:
+            # For instance, the HTTP/2 library raises an error of its own
+            # once a connection has used up its 2**30 stream ids, which
+            # takes 12 days at 1000 calls/s. It must not end this voter.
+            self._close(key, used)
+            raise ConnectionError(f"{address}: {error!r}") from error
         if reply is None:
             raise ConnectionError(f"{address} ended {call.path} unanswered")
         return reply
 
+    def _close(
+        self, key: tuple[str, bool], used: grpclib.client.Channel
+    ) -> None:
+        if self.channels.get(key) is used:
+            del self.channels[key]
+        used.close()
+
     def close(self) -> None:
         """Close all channels."""
         for used in self.channels.values():
@@ -103,7 +115,10 @@
         self.voter = voter
         self.address = address
         self.term = consensus.term
-        self.next_index = consensus.entries.last_index + 1
+        entries = consensus.entries
+        # Begins with the last entry, so that a voter that is added while
+        # nothing is proposed is brought up to date as well.
+        self.next_index = max(entries.base_index + 1, entries.last_index)
         self.match_index = 0
         self.contact_s = time.monotonic()
         """When the last request that was answered was sent."""
--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -396,6 +396,9 @@
                 request.term,
                 Role.FOLLOWER,
             )
+        # The reply in this term counts as a copy, so that a voter whose
+        # disk failed meanwhile must not send it.
+        self._check_taking_part()
         return messages.SnapshotReply(self.term, self.voter)
 
     def _check_target(self, target: ids.VoterId) -> None:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import itertools
 import shutil
 import threading
 import time
 
 import grpclib
+import msgspec
 import pytest
 
 from flamingocleat import errors
@@ -62,11 +64,27 @@
         self.append(entries)
 
 
-def test_acknowledged_writes_survive_the_leader(tmp_path, monkeypatch):
-    """Neither a leader's death nor a clock jump may lose a write."""
-    jumps = iter([0.0, 1e9, 5.0] * 1_000_000)
+def test_wall_clock_does_not_matter(tmp_path, monkeypatch):
+    """Jumps of the wall clock must not depose a working leader."""
+    # Four values, as three voters that take turns would each see one.
+    jumps = itertools.cycle([0.0, 1e9, 5.0, 2e9])
     monkeypatch.setattr(time, "time", lambda: next(jumps))
 
+    async def scenario(cluster):
+        leader = await cluster.settled_leader()
+        term = leader.term
+        before = len(cluster.network.sent)
+        await cluster_module.until(
+            lambda: len(cluster.network.sent) > before + 40
+        )
+        assert (leader.role, leader.term) == (consensus.Role.LEADER, term)
+
+    run_cluster(scenario, tmp_path)
+
+
+def test_acknowledged_writes_survive_the_leader(tmp_path):
+    """A leader's death must lose no write, even if it comes back."""
+
     async def scenario(cluster):
         version = 0
         for _ in range(3):
@@ -307,14 +325,7 @@
         lost, kept = others(cluster, leader)
         await cluster.kill(lost)
         shutil.rmtree(tmp_path / lost)
-        change = machine.ReplaceVoter(
-            operator=ids.OperatorId("anna"),
-            change_id=ids.ChangeId("replace"),
-            old=ids.VoterId(lost),
-            new=ids.VoterId("d"),
-            address="d",
-            time_ms=1,
-        )
+        change = replacement(lost, "d")
         assert (await cluster.propose(change)).decision is _ACCEPTED
         assert (await cluster.propose(change)).decision is _ACCEPTED
         await cluster_module.until(lambda: not leader.membership.is_joint)
@@ -327,29 +338,111 @@
             assert set(node.machine.voters) == set(cluster.addresses)
             assert node.membership.voters == cluster.addresses
         await cluster.kill(leader.voter)
-        await submit_many(cluster, 120, 130)
+        await submit_many(cluster, 120, 190)
         await cluster.kill(kept)
         await cluster.kill("d")
         # The membership comes from the log, not from the settings.
         cluster.addresses = {ids.VoterId(v): v for v in "abc"}
         await cluster.start(kept)
         await cluster.start("d")
-        await submit_many(cluster, 130, 131)
-        unknown = await cluster.propose(
-            machine.ReplaceVoter(
-                operator=ids.OperatorId("anna"),
-                change_id=ids.ChangeId("again"),
-                old=ids.VoterId(lost),
-                new=ids.VoterId("e"),
-                address="e",
-                time_ms=1,
-            )
-        )
+        await submit_many(cluster, 190, 191)
+        unknown = await cluster.propose(replacement(lost, "e"))
         assert unknown.decision is machine.Decision.REFUSED
 
     run_cluster(scenario, tmp_path, interval=50)
 
 
+def replacement(old: str, new: str) -> machine.ReplaceVoter:
+    return machine.ReplaceVoter(
+        operator=ids.OperatorId("anna"),
+        change_id=ids.ChangeId(f"{old}-{new}"),
+        old=ids.VoterId(old),
+        new=ids.VoterId(new),
+        address=new,
+        time_ms=1,
+    )
+
+
+def test_next_leader_completes_a_replacement(tmp_path):
+    """A leader that dies halfway must not leave a joint membership."""
+
+    async def scenario(cluster):
+        leader = await cluster.settled_leader()
+        lost, kept = others(cluster, leader)
+        await cluster.kill(lost)
+        leader._finish_replacement = lambda: None
+        await cluster.start("d", new=True)
+        await leader.propose(replacement(lost, "d"))
+        assert leader.membership.is_joint
+        await cluster_module.until(
+            lambda: cluster.voters["d"].membership.is_joint
+        )
+        await cluster.kill(leader.voter)
+        await cluster.start(lost)
+        new = await cluster.leader(kept, "d")
+        await cluster_module.until(lambda: not new.membership.is_joint)
+        assert set(new.membership.voters) == {leader.voter, kept, "d"}
+
+    run_cluster(scenario, tmp_path)
+
+
+def test_replaced_leader_steps_down(tmp_path):
+    """A leader that is replaced must hand over, and not campaign."""
+
+    async def scenario(cluster):
+        leader = await cluster.settled_leader()
+        await cluster.start("d", new=True)
+        outcome = await leader.propose(replacement(leader.voter, "d"))
+        assert outcome.decision is _ACCEPTED
+        await cluster_module.until(
+            lambda: leader.role is consensus.Role.FOLLOWER
+        )
+        new = await cluster.leader(*others(cluster, leader))
+        await new.propose(cluster_module.submission("c0", 0))
+        before = len(cluster.network.sent)
+        votes = cluster.network.count(leader.voter, messages.VoteRequest)
+        await cluster_module.until(
+            lambda: len(cluster.network.sent) > before + 60
+        )
+        assert votes == cluster.network.count(
+            leader.voter, messages.VoteRequest
+        )
+        await cluster.kill(leader.voter)
+        await submit_many(cluster, 1, 5)
+        await cluster.converge()
+
+    run_cluster(scenario, tmp_path)
+
+
+def test_failed_disk_does_not_acknowledge_a_snapshot(tmp_path):
+    """The leader counts a snapshot that is acknowledged as a copy."""
+
+    async def scenario():
+        async with single(tmp_path) as node:
+            await node.start()
+
+            def fail(index, term, data):
+                raise errors.StorageError("disk is full")
+
+            node.storage.save_snapshot = fail
+            data = consensus.SnapshotData(
+                node.membership, node.machine.snapshot()
+            )
+            request = messages.SnapshotRequest(
+                term=5,
+                leader=ids.VoterId("b"),
+                leader_address="b",
+                target=ids.VoterId("a"),
+                last_index=9,
+                last_term=4,
+                data=msgspec.msgpack.encode(data),
+            )
+            with pytest.raises(grpclib.GRPCError):
+                await node.handle_snapshot(request)
+
+    asyncio.run(scenario())
+
+
 def test_joint_membership_needs_both_majorities():
     """Majorities of old and new voters alone may not overlap."""
     old = {ids.VoterId(v): v for v in "abc"}
@@ -559,6 +652,113 @@
     asyncio.run(scenario())
 
 
+def append_request(term: int, previous, *terms: int, commit: int = 0):
+    """Make a request whose entries follow previous and have these terms."""
+    index, previous_term = previous
+    return messages.AppendRequest(
+        term=term,
+        leader=ids.VoterId("b"),
+        leader_address="b",
+        target=ids.VoterId("a"),
+        previous_index=index,
+        previous_term=previous_term,
+        entries=tuple(
+            messages.LogEntry(index + n, entry_term, b"")
+            for n, entry_term in enumerate(terms, 1)
+        ),
+        commit_index=commit,
+    )
+
+
+def test_replaces_conflicting_entries(tmp_path):
+    """A follower's entries must match the leader's, also on its disk."""
+
+    async def scenario():
+        async with single(tmp_path) as node:
+            await node.start()
+            ask = node.handle_append
+            assert (await ask(append_request(1, (0, 0), 1, 1, 1))).success
+            gap = await ask(append_request(2, (7, 2), 2))
+            assert (gap.success, gap.next_index) == (False, 4)
+            conflict = await ask(append_request(2, (3, 2), 2))
+            assert (conflict.success, conflict.next_index) == (False, 1)
+            fitting = await ask(append_request(2, (1, 1), 2, commit=2))
+            assert (fitting.success, fitting.match_index) == (True, 2)
+            stale = await ask(append_request(1, (2, 2), 1))
+            assert (stale.success, stale.term) == (False, 2)
+            repeated = await ask(append_request(2, (0, 0), 1, 2))
+            assert repeated.success
+            assert [e.term for e in node.entries.entries] == [1, 2]
+            assert node.commit_index == 2
+            with pytest.raises(grpclib.GRPCError):
+                await ask(append_request(3, (1, 1), 3))
+            assert "committed entry 2" in node.failure
+        opened = storage.Storage.open(str(tmp_path / "x"))
+        assert [e.term for e in opened.entries] == [1, 2]
+        opened.close()
+
+    asyncio.run(scenario())
+
+
+def test_overtaken_write_is_no_copy(tmp_path):
+    """A write of entries that were replaced must not count for others."""
+
+    async def scenario():
+        async with single(tmp_path) as node:
+            await node.start()
+            turns = threading.Semaphore(0)
+            started: list[int] = []
+            append = node.storage.append
+
+            def wait_and_append(entries):
+                started.append(len(entries))
+                turns.acquire(timeout=cluster_module.LIMIT_S)
+                append(entries)
+
+            node.storage.append = wait_and_append
+            first = asyncio.create_task(
+                node.handle_append(append_request(1, (0, 0), 1, 1, 1))
+            )
+            await cluster_module.until(lambda: started == [3])
+            # The vote of term 2 is saved by the same thread, after this.
+            node.saved_vote = (2, "")
+            second = asyncio.create_task(
+                node.handle_append(append_request(2, (1, 1), 2))
+            )
+            await cluster_module.until(lambda: node.entries.last_index == 2)
+            turns.release()
+            await cluster_module.until(lambda: len(started) == 2)
+            assert not second.done()
+            turns.release(100)
+            assert not (await first).success
+            assert (await second).success
+
+    asyncio.run(scenario())
+
+
+def test_late_snapshot_keeps_later_entries(tmp_path):
+    """A snapshot that arrives late must not undo what was acknowledged."""
+
+    async def scenario():
+        async with single(tmp_path) as node:
+            await node.start()
+            await node.handle_append(append_request(1, (0, 0), 1, 1, 1))
+            request = messages.SnapshotRequest(
+                term=1,
+                leader=ids.VoterId("b"),
+                leader_address="b",
+                target=ids.VoterId("a"),
+                last_index=2,
+                last_term=1,
+                data=b"",
+            )
+            await node.handle_snapshot(request)
+            assert node.entries.last_index == 3
+            assert node.storage.last_index == 3
+
+    asyncio.run(scenario())
+
+
 def test_refuses_the_folder_of_another_voter(tmp_path):
     """A mixed-up folder would let one voter vote in two names."""
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -156,6 +156,37 @@
     asyncio.run(scenario())
 
 
+def test_used_up_connection_is_replaced(tmp_path):
+    """The end of the stream ids, after days, must not end a voter."""
+
+    async def scenario():
+        listeners = {"a": socket.create_server(("127.0.0.1", 0))}
+        voter = Voter(tmp_path, "a", listeners)
+        await voter.server.start(sock=voter.listener)
+        address = voter.node.settings.listen
+        request = messages.VoteRequest(
+            term=1,
+            candidate=ids.VoterId("b"),
+            target=ids.VoterId("a"),
+            last_index=0,
+            last_term=0,
+        )
+        caller = peer.Caller()
+        limit_s = cluster_module.LIMIT_S
+        await caller.call(codec.VOTE, address, request, limit_s)
+        (used,) = caller.channels.values()
+        http2 = used._protocol.connection._connection
+        http2.highest_outbound_stream_id = 2**31 - 1
+        with pytest.raises(peer.FAILURES):
+            await caller.call(codec.VOTE, address, request, limit_s)
+        reply = await caller.call(codec.VOTE, address, request, limit_s)
+        assert reply.granted
+        caller.close()
+        await voter.stop()
+
+    asyncio.run(scenario())
+
+
 async def _copy(reader, writer) -> None:
     with contextlib.suppress(ConnectionError):
         while data := await reader.read(65536):
