--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -168,7 +168,13 @@
         self.bytes_since_snapshot = sum(
             len(entry.command) for entry in storage.entries
         )
-        self._restore_snapshot()
+        try:
+            self._restore(self.snapshot)
+        except msgspec.MsgspecError as error:
+            raise errors.StorageError(
+                f"{storage.folder}: snapshot {self.snapshot.index} cannot be "
+                f"restored: {error}"
+            ) from error
         self._find_membership()
 
         self.peers: dict[ids.VoterId, peer_module.Peer] = {}
@@ -483,7 +489,15 @@
             # entries could lose some that were acknowledged.
             self._commit(index)
             return
-        self.snapshot = storage_module.Snapshot(index, term, request.data)
+        snapshot = storage_module.Snapshot(index, term, request.data)
+        try:
+            self._restore(snapshot)
+        except msgspec.MsgspecError as error:
+            raise grpclib.GRPCError(
+                grpclib.Status.INVALID_ARGUMENT,
+                f"snapshot {index} cannot be restored: {error}",
+            ) from error
+        self.snapshot = snapshot
         self.entries = entries_module.Entries(index, term)
         self.new_snapshot = self.snapshot
         self.truncate_from = index + 1
@@ -494,7 +508,6 @@
         self.applied_index = index
         self.snapshot_index = index
         self.bytes_since_snapshot = 0
-        self._restore_snapshot()
         self._find_membership()
         self.write_needed.set()
         self._notify(self.apply_callbacks)
@@ -546,11 +559,12 @@
             if entry.voters is not None:
                 self._set_membership(entry)
 
-    def _restore_snapshot(self) -> None:
-        if not self.snapshot.index:
+    def _restore(self, snapshot: storage_module.Snapshot) -> None:
+        """Take over a snapshot's state; one that is garbled changes none."""
+        if not snapshot.index:
             self.machine.voters = dict(self.first_membership.voters)
             return
-        data = msgspec.msgpack.decode(self.snapshot.data, type=SnapshotData)
+        data = msgspec.msgpack.decode(snapshot.data, type=SnapshotData)
         self.machine.restore(data.machine)
         self.first_membership = data.membership
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -428,14 +428,8 @@
             data = consensus.SnapshotData(
                 node.membership, node.machine.snapshot()
             )
-            request = messages.SnapshotRequest(
-                term=5,
-                leader=ids.VoterId("b"),
-                leader_address="b",
-                target=ids.VoterId("a"),
-                last_index=9,
-                last_term=4,
-                data=msgspec.msgpack.encode(data),
+            request = snapshot_request(
+                9, msgspec.msgpack.encode(data), last_term=4
             )
             with pytest.raises(grpclib.GRPCError):
                 await node.handle_snapshot(request)
@@ -443,6 +437,26 @@
     asyncio.run(scenario())
 
 
+def test_garbled_snapshot_changes_nothing(tmp_path):
+    """A snapshot that cannot be read must not replace good state."""
+
+    async def scenario():
+        async with single(tmp_path) as node:
+            await node.start()
+            await node.handle_append(append_request(5, (0, 0), 1, commit=1))
+            with pytest.raises(grpclib.GRPCError):
+                await node.handle_snapshot(snapshot_request(9, b"garbled"))
+            assert (node.applied_index, node.entries.last_index) == (1, 1)
+            assert not node.failure
+            node.storage.save_snapshot(1, 1, b"garbled")
+        opened = storage.Storage.open(str(tmp_path / "x"))
+        with pytest.raises(errors.StorageError):
+            consensus.Consensus(node.settings, opened, machine.Machine())
+        opened.close()
+
+    asyncio.run(scenario())
+
+
 def test_joint_membership_needs_both_majorities():
     """Majorities of old and new voters alone may not overlap."""
     old = {ids.VoterId(v): v for v in "abc"}
@@ -670,6 +684,18 @@
     )
 
 
+def snapshot_request(index: int, data: bytes, last_term: int = 1):
+    return messages.SnapshotRequest(
+        term=5,
+        leader=ids.VoterId("b"),
+        leader_address="b",
+        target=ids.VoterId("a"),
+        last_index=index,
+        last_term=last_term,
+        data=data,
+    )
+
+
 def test_replaces_conflicting_entries(tmp_path):
     """A follower's entries must match the leader's, also on its disk."""
 
@@ -743,16 +769,7 @@
         async with single(tmp_path) as node:
             await node.start()
             await node.handle_append(append_request(1, (0, 0), 1, 1, 1))
-            request = messages.SnapshotRequest(
-                term=1,
-                leader=ids.VoterId("b"),
-                leader_address="b",
-                target=ids.VoterId("a"),
-                last_index=2,
-                last_term=1,
-                data=b"",
-            )
-            await node.handle_snapshot(request)
+            await node.handle_snapshot(snapshot_request(2, b""))
             assert node.entries.last_index == 3
             assert node.storage.last_index == 3
 
