--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -168,7 +168,13 @@
         self.bytes_since_snapshot = sum(
             len(entry.command) for entry in storage.entries
         )
-        self._restore_snapshot()
+        try:
+            self._restore(self.snapshot)
+        except msgspec.MsgspecError as error:
+            raise errors.StorageError(
+                f"{storage.folder}: snapshot {self.snapshot.index} cannot be "
+                f"restored: {error}"
+            ) from error
         self._find_membership()
 
         self.peers: dict[ids.VoterId, peer_module.Peer] = {}
@@ -396,6 +402,9 @@
                 request.term,
                 Role.FOLLOWER,
             )
+        # The reply in this term counts as a copy, so that a voter whose
+        # disk failed meanwhile must not send it.
+        self._check_taking_part()
         return messages.SnapshotReply(self.term, self.voter)
 
     def _check_target(self, target: ids.VoterId) -> None:
@@ -480,7 +489,15 @@
             # entries could lose some that were acknowledged.
             self._commit(index)
             return
-        self.snapshot = storage_module.Snapshot(index, term, request.data)
+        snapshot = storage_module.Snapshot(index, term, request.data)
+        try:
+            self._restore(snapshot)
+        except msgspec.MsgspecError as error:
+            raise grpclib.GRPCError(
+                grpclib.Status.INVALID_ARGUMENT,
+                f"snapshot {index} cannot be restored: {error}",
+            ) from error
+        self.snapshot = snapshot
         self.entries = entries_module.Entries(index, term)
         self.new_snapshot = self.snapshot
         self.truncate_from = index + 1
@@ -491,7 +508,6 @@
         self.applied_index = index
         self.snapshot_index = index
         self.bytes_since_snapshot = 0
-        self._restore_snapshot()
         self._find_membership()
         self.write_needed.set()
         self._notify(self.apply_callbacks)
@@ -543,11 +559,12 @@
             if entry.voters is not None:
                 self._set_membership(entry)
 
-    def _restore_snapshot(self) -> None:
-        if not self.snapshot.index:
+    def _restore(self, snapshot: storage_module.Snapshot) -> None:
+        """Take over a snapshot's state; one that is garbled changes none."""
+        if not snapshot.index:
             self.machine.voters = dict(self.first_membership.voters)
             return
-        data = msgspec.msgpack.decode(self.snapshot.data, type=SnapshotData)
+        data = msgspec.msgpack.decode(snapshot.data, type=SnapshotData)
         self.machine.restore(data.machine)
         self.first_membership = data.membership
 
