--- a/src/flamingocleat/process/repair.py
+++ b/src/flamingocleat/process/repair.py
@@ -125,7 +125,7 @@
 
     def _keep_orders(self, plan: placement.Plan) -> None:
         preloads = {order.vm: order for order in plan.preloads}
-        draining: frozenset[ids.GroupId] = frozenset()
+        draining = frozenset(plan.draining)
         if (preloads, draining) != (self.preloads, self.draining):
             self.preloads, self.draining = preloads, draining
             self.on_plan()
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -33,14 +33,14 @@
 
 async def _form_groups(site: voters.Voters) -> dict:
     """Announce eight VMs and return the two groups made of them."""
+    # Agents send nothing further in these tests and must not be lost.
+    for voter in site.controls:
+        voter.sessions.clock = lambda: 100.0
     await site.submit_first()
     leader = site.leader
     for number in range(8):
         leader.sessions.open(_status(f"vm-{number}"))
     while len(leader.machine.assignments) < 2:
-        for number in range(8):
-            agent = leader.sessions.agents[f"vm-{number}"]
-            leader.sessions.take(agent.session, agent.status)
         await asyncio.sleep(0.02)
     return dict(leader.machine.assignments)
 
@@ -108,6 +108,28 @@
     voters.run(scenario)
 
 
+def test_busy_group_of_a_drained_vm_takes_no_new_work():
+    """Its lead would never become idle, and the VM never be released."""
+
+    async def scenario(site: voters.Voters) -> None:
+        groups = await _form_groups(site)
+        leader = site.leader
+        group = groups["drafting/0"]
+        lead, member = group.members[0].vm, group.members[-1].vm
+        agent = leader.sessions.agents[lead]
+        busy = msgspec.structs.replace(agent.status, in_flight=1)
+        leader.sessions.take(agent.session, busy)
+        reply = await site.ask("POST", f"/v1/vms/{member}/drain", Change_Id="d")
+        assert reply.status == 200
+        while leader.repair.draining != {"drafting/0"}:
+            await asyncio.sleep(0.02)
+        listed = [view.backend for view in leader._snapshot().backends]
+        assert listed == ["drafting/1"]
+        assert leader.machine.assignments["drafting/0"] == group
+
+    voters.run(scenario)
+
+
 def test_stalled_process_waits_for_announcements_again():
     """Statuses that wait unread would make live agents seem lost."""
 
