Echo the last status before each quorum round in views

Cause: a view that the network delays proves a quorum only for the time at which its round began, and entries could not tell that time.

Ruled out: a time stamp by control, since clocks of two VMs differ. The entry compares with its own clock when it sent the echoed status.

The proof was seen to fail with the echo taken at the end of the round, and without an echo.

Conclusion: entries can count staleness from the time they asked.

--- a/src/flamingocleat/connection/view.py
+++ b/src/flamingocleat/connection/view.py
@@ -87,6 +87,10 @@
     def __init__(self, status: messages.EntryStatus, now_s: float) -> None:
         self.status = status
         self.heard_s = now_s
+        self.asked_sequence = 0
+        """Last status that had arrived when the present round began."""
+        self.confirmed_sequence = 0
+        """The same of the last round that was confirmed."""
         self.wakeup = asyncio.Event()
         self.ended: errors.FlamingocleatError | None = None
 
@@ -159,6 +163,8 @@
     async def _round(self) -> None:
         self.rounds_begun += 1
         number = self.rounds_begun
+        for watch in self.watches.values():
+            watch.asked_sequence = watch.status.sequence
         try:
             await self.confirm()
         except errors.FlamingocleatError as error:
@@ -168,6 +174,7 @@
         self.snapshot = self.build()
         self.round_confirmed = number
         for watch in self.watches.values():
+            watch.confirmed_sequence = watch.asked_sequence
             watch.wakeup.set()
 
     def _open(self, status: messages.EntryStatus) -> Watch:
@@ -214,6 +221,7 @@
                 configuration=snapshot.configuration,
                 backends=snapshot.backends,
                 entry_count=max(1, len(self.watches)),
+                echo=watch.confirmed_sequence,
             )
             await stream.send_message(_difference(sent, view))
             sent = _merged(sent, view)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -59,8 +59,10 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-def _status(entry: str, version: int) -> messages.EntryStatus:
-    return messages.EntryStatus(entry, "praha-a", version)
+def _status(
+    entry: str, version: int, sequence: int = 1
+) -> messages.EntryStatus:
+    return messages.EntryStatus(entry, "praha-a", version, 0, sequence)
 
 
 def _run(scenario) -> None:
@@ -172,6 +174,23 @@
     _run(scenario)
 
 
+def test_view_echoes_the_status_before_its_round():
+    """A view delayed by the network would count as a fresh confirmation."""
+
+    async def scenario(site: _Site) -> None:
+        stream = await site.watch()
+        while not site.quorum.rounds:
+            await asyncio.sleep(0.01)
+        # This status arrives while the round is under way.
+        await stream.incoming.put(_status("entry-1", 0, 2))
+        await streams.settle()
+        await site.quorum.answer()
+        await site.quorum.answer()
+        assert [v.echo for v in stream.sent] == [1, 2]
+
+    _run(scenario)
+
+
 def _backend(vm: str, kind: messages.BackendKind, **values):
     return messages.AgentStatus(
         vm=vm,
