Bound the work that a burst of announcements causes

Cause: after an election each agent's announcement caused one comparison of views and one plan, so the new leader was busy with them for seconds.

Weighed: incremental views and plans, which would add state that can be wrong, against a short pause; views are compared at most every 10 ms and plans made at most every 20 ms after the last. The stall check now covers the whole loop, so that a stall during a plan is noticed as well.

--- a/src/flamingocleat/connection/view.py
+++ b/src/flamingocleat/connection/view.py
@@ -19,6 +19,9 @@
 _log = logs.logger("view")
 
 KEEPALIVE_S = 0.5
+COMPARE_PAUSE_S = 0.01
+"""Notifications within this time share one comparison, since a new leader
+gets hundreds of them a second."""
 SILENT_AFTER_S = 3.0
 """An entry that sends no status for so long has its watch ended."""
 
@@ -121,6 +124,7 @@
         self.rounds_begun = 0
         self.round_confirmed = 0
         self.snapshot: Snapshot | None = None
+        self.comparison: asyncio.TimerHandle | None = None
 
     async def handle(self, stream: typing.Any) -> None:
         """Serve one Watch stream."""
@@ -149,9 +153,11 @@
                 await self._round()
 
     def notify(self) -> None:
-        """Begin a round at once if entries must be told something new."""
-        if self.watches and self.build() != self.snapshot:
-            self.changed.set()
+        """Begin a round if entries must be told something new."""
+        if self.comparison is None:
+            self.comparison = asyncio.get_running_loop().call_later(
+                COMPARE_PAUSE_S, self._compare
+            )
 
     def end_all(self, error: errors.FlamingocleatError) -> None:
         """End all watches (leadership was lost)."""
@@ -160,6 +166,11 @@
             watch.wakeup.set()
         self.snapshot = None
 
+    def _compare(self) -> None:
+        self.comparison = None
+        if self.watches and self.build() != self.snapshot:
+            self.changed.set()
+
     async def _round(self) -> None:
         self.rounds_begun += 1
         number = self.rounds_begun
--- a/src/flamingocleat/process/repair.py
+++ b/src/flamingocleat/process/repair.py
@@ -18,6 +18,9 @@
 _log = logs.logger("repair")
 
 PLAN_INTERVAL_S = 0.25
+PLAN_PAUSE_S = 0.02
+"""After an election, agents announce themselves in hundreds a second, and a
+plan for a thousand VMs takes 3.3 ms."""
 MAX_STALL_S = 1.0
 """After a longer stall of this process, statuses may wait unread, so that
 live agents seem silent."""
@@ -59,18 +62,21 @@
 
     async def run(self) -> None:
         """Plan on each change and each PLAN_INTERVAL_S until cancelled."""
+        last_s = self.clock()
         while True:
-            begun_s = self.clock()
             await duplex.wait_event(self.changed, PLAN_INTERVAL_S)
-            if self.clock() - begun_s > MAX_STALL_S:
+            now_s = self.clock()
+            if now_s - last_s > MAX_STALL_S:
                 self.settled = False
                 self.leadership.restart_wait("process stalled")
+            last_s = now_s
             try:
                 await self.step()
             except errors.FlamingocleatError as error:
                 logs.warning(_log, "plan_not_committed", reason=str(error))
             except Exception as error:  # A fault in one plan must not end it.
                 logs.error(_log, "plan_failed", reason=repr(error))
+            await asyncio.sleep(PLAN_PAUSE_S)
 
     async def step(self) -> None:
         """Plan once, and commit the plan if it changes assignments."""
