--- a/src/flamingocleat/connection/view.py
+++ b/src/flamingocleat/connection/view.py
@@ -19,6 +19,9 @@
 _log = logs.logger("view")
 
 KEEPALIVE_S = 0.5
+COMPARE_PAUSE_S = 0.01
+"""Notifications within this time share one comparison, since a new leader
+gets hundreds of them a second."""
 SILENT_AFTER_S = 3.0
 """An entry that sends no status for so long has its watch ended."""
 
@@ -87,6 +90,10 @@
     def __init__(self, status: messages.EntryStatus, now_s: float) -> None:
         self.status = status
         self.heard_s = now_s
+        self.asked_sequence = 0
+        """Last status that had arrived when the present round began."""
+        self.confirmed_sequence = 0
+        """The same of the last round that was confirmed."""
         self.wakeup = asyncio.Event()
         self.ended: errors.FlamingocleatError | None = None
 
@@ -117,6 +124,7 @@
         self.rounds_begun = 0
         self.round_confirmed = 0
         self.snapshot: Snapshot | None = None
+        self.comparison: asyncio.TimerHandle | None = None
 
     async def handle(self, stream: typing.Any) -> None:
         """Serve one Watch stream."""
@@ -145,9 +153,11 @@
                 await self._round()
 
     def notify(self) -> None:
-        """Begin a round at once if entries must be told something new."""
-        if self.watches and self.build() != self.snapshot:
-            self.changed.set()
+        """Begin a round if entries must be told something new."""
+        if self.comparison is None:
+            self.comparison = asyncio.get_running_loop().call_later(
+                COMPARE_PAUSE_S, self._compare
+            )
 
     def end_all(self, error: errors.FlamingocleatError) -> None:
         """End all watches (leadership was lost)."""
@@ -156,9 +166,16 @@
             watch.wakeup.set()
         self.snapshot = None
 
+    def _compare(self) -> None:
+        self.comparison = None
+        if self.watches and self.build() != self.snapshot:
+            self.changed.set()
+
     async def _round(self) -> None:
         self.rounds_begun += 1
         number = self.rounds_begun
+        for watch in self.watches.values():
+            watch.asked_sequence = watch.status.sequence
         try:
             await self.confirm()
         except errors.FlamingocleatError as error:
@@ -168,6 +185,7 @@
         self.snapshot = self.build()
         self.round_confirmed = number
         for watch in self.watches.values():
+            watch.confirmed_sequence = watch.asked_sequence
             watch.wakeup.set()
 
     def _open(self, status: messages.EntryStatus) -> Watch:
@@ -214,6 +232,7 @@
                 configuration=snapshot.configuration,
                 backends=snapshot.backends,
                 entry_count=max(1, len(self.watches)),
+                echo=watch.confirmed_sequence,
             )
             await stream.send_message(_difference(sent, view))
             sent = _merged(sent, view)
