Prove the entry's guards and close what they showed

Cause: the entry's guards had tests that were never seen to fail. Three tests did not fail at first (silence, caller gone in a stream, cancellation before another claim) and are now stricter. The bytes that a slow caller's socket did not take have a test, whose guard was not seen to fail.

Found: a stream that broke after delivery told "not run" in its error event if the last agent refused; it now says unknown. A caller that left before the answer was logged as a fault. An answer awaited whole on a dead connection was noticed only at the deadline; the kernel now probes such connections (this needs a path that drops packets, so no test shows it). Time limits are at most 600 s. A failed task now drains before the program ends.

Ruled out: counting resumptions of streams that made progress against the retry budget, since a stream that has begun cannot be refused truthfully.

--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -46,6 +46,9 @@
 
 _EMPTY = schema.Configuration(operator="", data_centres=(), services=())
 
+_CLOSED_BY_CALLER = 499
+"""Status for the metrics; nobody receives it."""
+
 _PAGES = ("/livez", "/readyz", "/metrics")
 
 _log = logs.logger("entry")
@@ -205,7 +208,16 @@
                 reason=error,
             )
             return _respond(error.status, headers, error.body(request_ids[0]))
+        except attempt.CallerGoneError as error:
+            logs.info(_log, "caller_gone", request=request_ids[1], reason=error)
+            return _respond(_CLOSED_BY_CALLER, {"Connection": "close"}, b"")
         if isinstance(answer, messages.Answer):
+            logs.info(
+                _log,
+                "call_answered",
+                request=request_ids[1],
+                status=answer.status,
+            )
             if answer.content_type:
                 headers["Content-Type"] = answer.content_type
             return _respond(answer.status, headers, answer.body)
@@ -347,16 +359,25 @@
         return_when=asyncio.FIRST_COMPLETED,
     )
     failed = not requested.done()
+    if failed:
+        logs.error(_log, "task_failed", reason=_reason(serving, following))
     entry.draining = True
-    if not failed:
-        await asyncio.sleep(entry_settings.drain_notice_s)
-        entry.refusing = True
-        await stop.wait_idle()
+    await asyncio.sleep(entry_settings.drain_notice_s)
+    entry.refusing = True
+    await stop.wait_idle()
     await asyncio.to_thread(server.stop)
     logs.info(_log, "stopped")
     return 1 if failed else 0
 
 
+def _reason(*tasks: asyncio.Task) -> str:
+    """Return why the first of the tasks that has ended did so."""
+    for task in tasks:
+        if task.done():
+            return repr(task.exception())
+    return ""
+
+
 def _request(environ: dict[str, typing.Any]) -> call_module.Request:
     headers = {
         name[5:].replace("_", "-").lower(): value
--- a/src/flamingocleat/request/attempt.py
+++ b/src/flamingocleat/request/attempt.py
@@ -10,6 +10,7 @@
 import time
 import typing
 
+import prometheus_client
 import urllib3
 import urllib3.connection
 import urllib3.exceptions
@@ -41,8 +42,24 @@
 )
 """What urllib3 and the sockets below it raise for a failed connection."""
 
+_SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+]
+"""An answer that is awaited whole has no bytes whose absence would tell a
+dead connection. Probes of the kernel end it about 5 s after its last byte."""
+
 _log = logs.logger("attempt")
 
+_failed = prometheus_client.Counter(
+    "flamingocleat_entry_attempts_failed",
+    "Attempts at agents that gave no answer",
+    ["outcome"],
+)
+
 
 class Ran(enum.Enum):
     """Values of the header Flamingocleat-Outcome."""
@@ -282,6 +299,7 @@
         self.retry_after_s = max(self.retry_after_s, error.retry_after_s)
         if error.outcome is problem.Outcome.UNKNOWN:
             self.outcome = error.outcome
+        _failed.labels(outcome=error.outcome.value).inc()
         logs.info(
             _log,
             "attempt_failed",
@@ -343,7 +361,10 @@
     host, _, port = candidate.view.data_address.rpartition(":")
     bound_s = min(entry_settings.connect_timeout_s, call.remaining_s())
     connection = urllib3.connection.HTTPConnection(
-        host, int(port), timeout=max(0.001, bound_s)
+        host,
+        int(port),
+        timeout=max(0.001, bound_s),
+        socket_options=_SOCKET_OPTIONS,
     )
     try:
         connection.connect()
--- a/src/flamingocleat/request/call.py
+++ b/src/flamingocleat/request/call.py
@@ -18,6 +18,9 @@
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 
+MAX_TIMEOUT_MS = 600_000
+"""Bounds the wait of a graceful shutdown."""
+
 KEY_WINDOW_S = 24 * 3600.0
 """Age up to which the register keeps keys."""
 
@@ -296,11 +299,12 @@
     headers: collections.abc.Mapping[str, str], service: schema.Service
 ) -> float:
     text = headers.get("x-request-timeout-ms")
+    limit_ms = min(service.max_timeout_ms, MAX_TIMEOUT_MS)
     if text is None:
-        return min(service.timeout_ms, service.max_timeout_ms) / 1000
+        return min(service.timeout_ms, limit_ms) / 1000
     if not _TIMEOUT.fullmatch(text):
         raise problem.malformed("X-Request-Timeout-Ms is not a number above 0")
-    return min(int(text), service.max_timeout_ms) / 1000
+    return min(int(text), limit_ms) / 1000
 
 
 def _priority(
--- a/src/flamingocleat/request/pump.py
+++ b/src/flamingocleat/request/pump.py
@@ -88,16 +88,21 @@
 
     def _loop(self) -> None:
         while True:
-            ready = self.epoll.poll(SCAN_INTERVAL_S)
-            now_s = time.monotonic()
-            for number, mask in ready:
-                flow = self.by_agent.get(number)
-                if flow is not None:
-                    self._relay(flow, now_s)
-                elif mask & _GONE:
-                    self._check_caller(number)
-            if now_s >= self.scan_s:
-                self._scan(now_s)
+            try:
+                self._turn(self.epoll.poll(SCAN_INTERVAL_S))
+            except Exception as error:  # All streams depend on this thread.
+                logs.error(_log, "turn_failed", reason=repr(error))
+
+    def _turn(self, ready: list[tuple[int, int]]) -> None:
+        now_s = time.monotonic()
+        for number, mask in ready:
+            flow = self.by_agent.get(number)
+            if flow is not None:
+                self._relay(flow, now_s)
+            elif mask & _GONE:
+                self._check_caller(number)
+        if now_s >= self.scan_s:
+            self._scan(now_s)
 
     def _relay(self, flow: Flow, now_s: float) -> None:
         try:
--- a/src/flamingocleat/request/relay.py
+++ b/src/flamingocleat/request/relay.py
@@ -7,6 +7,7 @@
 import typing
 
 import msgspec
+import prometheus_client
 
 from flamingocleat import errors
 from flamingocleat import messages
@@ -25,6 +26,11 @@
 
 _log = logs.logger("relay")
 
+_broken = prometheus_client.Counter(
+    "flamingocleat_entry_streams_broken",
+    "Connections of streams that ended before their stream",
+)
+
 
 class BrokenStreamError(errors.FlamingocleatError):
     """Ends a response that has begun, with no proper end."""
@@ -120,6 +126,7 @@
         budget: a stream that has begun cannot be refused any more.
         """
         self.close()
+        _broken.inc()
         logs.warning(
             _log,
             "stream_broken",
@@ -128,6 +135,8 @@
             reason=error,
         )
         self.attempts.tried_last()
+        # Part of the call ran, whatever later attempts say of themselves.
+        self.attempts.outcome = problem.Outcome.UNKNOWN
         free = self.delivered > self.progress
         give_up_s = time.monotonic() + self.settings.resume_wait_s
         pause_s = attempt.RESUME_PAUSE_S
@@ -223,6 +232,13 @@
         raise BrokenStreamError(f"caller is gone: {error}") from error
     finally:
         stream.close()
+        logs.info(
+            _log,
+            "stream_ended",
+            request=stream.call.request_id,
+            delivered=stream.delivered,
+            complete=stream.done,
+        )
 
 
 def _copy(stream: Stream, caller: Caller, pump: pump_module.Pump) -> None:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -5,11 +5,13 @@
 import contextlib
 import hashlib
 import http.client
+import itertools
 import json
 import socket
 import threading
 import time
 import typing
+import uuid
 
 import grpclib
 import grpclib.const
@@ -72,7 +74,9 @@
 
     def __init__(self) -> None:
         self.loop = asyncio.new_event_loop()
-        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread = threading.Thread(
+            target=self.loop.run_forever, daemon=True
+        )
         self.thread.start()
 
     def run(self, coroutine: collections.abc.Coroutine) -> typing.Any:
@@ -287,6 +291,7 @@
         self.script = script
         self.received: list[Received] = []
         self.permits: dict[str, messages.PermitState] = {}
+        self.voids = 0
         self.leaving = False
         self.reporting = True
         self.http = socket.create_server(("127.0.0.1", 0))
@@ -327,6 +332,7 @@
 
     async def void(self, stream: grpclib.server.Stream) -> None:
         request = await stream.recv_message()
+        self.voids += 1
         state = self.permits.setdefault(
             request.permit, messages.PermitState.VOIDED
         )
@@ -421,9 +427,23 @@
 
         wait_for(usable)
 
+    def idle(self) -> bool:
+        """Return whether every slot and count has been given back."""
+        pools = self.entry.shares.pools.values()
+        watched = self.entry.backends.watched.values()
+        return not (
+            any(pool.in_flight for pool in pools)
+            or any(each.candidate.in_flight for each in watched)
+            or self.entry.pump.by_agent
+            or self.entry.pump.by_caller
+        )
+
     def close(self) -> None:
-        self.server.stop()
-        self.thread.join()
+        try:
+            wait_for(self.idle)
+        finally:
+            self.server.stop()
+            self.thread.join()
 
 
 def with_policy(stale: str, limit_s: float) -> schema.Configuration:
@@ -435,6 +455,16 @@
     return msgspec.structs.replace(CONFIGURATION, policy=policy)
 
 
+_numbers = itertools.count(1)
+
+
+def new_key(version: int = 7) -> str:
+    """Return a UUID of this time and a version."""
+    stamp = int(time.time() * 1000) << 80
+    number = next(_numbers)
+    return str(uuid.UUID(int=stamp | version << 76 | 2 << 62 | number))
+
+
 def completion(stream: bool = True) -> bytes:
     return json.dumps(
         {"model": "llm", "stream": stream, "messages": [{"content": "x"}]}
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -2,24 +2,14 @@
 
 import collections.abc
 import concurrent.futures
-import itertools
 import json
 import threading
-import time
-import uuid
 
 import pytest
 
 from flamingocleat import messages
 from tests import entry_fakes as fakes
 
-_numbers = itertools.count(1)
-
-
-def new_key() -> str:
-    stamp = int(time.time() * 1000) << 80
-    return str(uuid.UUID(int=stamp | 7 << 76 | 2 << 62 | next(_numbers)))
-
 
 class Desk(fakes.World):
     """A world with two agents that keep permits as real ones do."""
@@ -103,7 +93,7 @@
 
 def test_repeat_gets_recorded_answer(desk):
     """A repeat must not run the call again, nor may another call pass."""
-    program, key = desk.program(), new_key()
+    program, key = desk.program(), fakes.new_key()
     assert file(program, key) == DONE
     assert file(program, key.upper()) == DONE
     assert file(program, key, body=b"another") == (422, "not-run")
@@ -114,7 +104,7 @@
 
 def test_lost_claim_reply(desk):
     """A claim without a reply must not be dispatched, nor block its key."""
-    program, key = desk.program(), new_key()
+    program, key = desk.program(), fakes.new_key()
     desk.control.lose = {"claim"}
     assert file(program, key) == NOT_RUN
     assert desk.received() == 0
@@ -126,7 +116,7 @@
 
 def test_lost_answer_is_read_from_register(desk):
     """An answer lost on its way must be found, without a second run."""
-    program, key = desk.program(), new_key()
+    program, key = desk.program(), fakes.new_key()
     desk.lose_answer = True
     assert file(program, key) == DONE
     assert desk.runs == [key]
@@ -134,7 +124,7 @@
 
 def test_unrecorded_answer_stays_unknown(desk):
     """A call that ran must not be denied or rerun by any repeat."""
-    program, key = desk.program(), new_key()
+    program, key = desk.program(), fakes.new_key()
     desk.lose_answer, desk.record = True, False
     assert file(program, key, 500) == UNKNOWN
     assert file(program, key, 500) == UNKNOWN
@@ -146,32 +136,33 @@
 
 def test_send_that_never_arrived_is_run_elsewhere(desk):
     """A permit that its agent voids must free the key."""
-    program, key = desk.program(), new_key()
+    program, key = desk.program(), fakes.new_key()
     desk.drop = {"desk-1"}
     while not desk.control.cancelled:
         desk.runs.clear()
-        key = new_key()
+        key = fakes.new_key()
         assert file(program, key, 1000) == DONE
         assert desk.runs == [key]
 
 
 def test_refused_permit_is_cancelled_before_another(desk):
-    """A second permit must not be claimed while the first is valid."""
+    """A refused permit must free its key at once, not by a void later."""
     program = desk.program()
     desk.refuse = {"desk-1"}
     while not desk.control.cancelled:
-        assert file(program, new_key()) == DONE
+        assert file(program, fakes.new_key()) == DONE
     desk.refuse = {"desk-1", "desk-2"}
-    key = new_key()
+    key = fakes.new_key()
     assert file(program, key) == NOT_RUN
     assert key not in desk.runs
     assert desk.control.register[key].permit in desk.control.cancelled
+    assert [agent.voids for agent in desk.agents] == [0, 0]
 
 
 @pytest.mark.parametrize("fault", ["lose", "refuse"])
 def test_unconfirmed_cancellation_is_unknown(desk, fault):
     """A refusal as not run must follow a committed cancellation."""
-    program, key = desk.program(), new_key()
+    program, key = desk.program(), fakes.new_key()
     desk.refuse = {"desk-1", "desk-2"}
     setattr(desk.control, fault, {"conclude"})
     assert file(program, key) == UNKNOWN
@@ -184,16 +175,16 @@
     """Without a committed claim nothing may be sent."""
     program = desk.program()
     desk.control.refuse = {"claim", "lookup"}
-    assert file(program, new_key()) == NOT_RUN
+    assert file(program, fakes.new_key()) == NOT_RUN
     desk.control.served.stop()
     fakes.wait_for(lambda: program.entry.control.channel is None)
-    assert file(program, new_key()) == NOT_RUN
+    assert file(program, fakes.new_key()) == NOT_RUN
     assert desk.received() == 0
 
 
 def test_ended_incarnation_stays_unknown(desk):
     """An agent that has restarted can no longer say what ran."""
-    program, key = desk.program(), new_key()
+    program, key = desk.program(), fakes.new_key()
     desk.lose_answer, desk.record = True, False
     assert file(program, key, 500) == UNKNOWN
     for agent in desk.agents:
@@ -208,7 +199,7 @@
     programs = [desk.program(), desk.program()]
     with concurrent.futures.ThreadPoolExecutor(8) as callers:
         for _ in range(5):
-            key = new_key()
+            key = fakes.new_key()
             desk.runs.clear()
             desk.hold.clear()
             filed = [
@@ -226,7 +217,7 @@
     desk.record = False
     with concurrent.futures.ThreadPoolExecutor(8) as callers:
         for _ in range(5):
-            key = new_key()
+            key = fakes.new_key()
             desk.drop = {"desk-1"}
             filed = [
                 callers.submit(file, programs[i % 2], key, 400 + 100 * i)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,7 @@
 """Requests, streams and refusals at a running entry."""
 
 import collections.abc
+import contextlib
 import http.client
 import itertools
 import json
@@ -58,16 +59,14 @@
     "body is no JSON": (400, {"body": b"{"}),
     "body names no model": (400, {"body": b"{}"}),
     "body too large": (413, {"body": b" " * 4097}),
+    "announced body too large": (413, {"Content_Length": "4097"}),
     "body too large for server": (413, {"Content_Length": "20000000"}),
     "chunked body too large": (413, {"body": iter([b" " * 3000] * 2)}),
     "header too large": (413, {"X_Other": "x" * 20_000}),
     "bad timeout": (400, {"X_Request_Timeout_Ms": "1.5"}),
     "relative path": (400, {"path": "/services/desk/a/%2e%2e/reset"}),
     "key is no UUIDv7": (400, {"Idempotency_Key": "1234"}),
-    "key is a UUIDv4": (
-        400,
-        {"Idempotency_Key": "0193f5e0-0000-4000-8000-000000000000"},
-    ),
+    "key is a UUIDv4": (400, {"Idempotency_Key": fakes.new_key(4)}),
     "key is too old": (
         400,
         {"Idempotency_Key": "0193f5e0-0000-7000-8000-000000000000"},
@@ -116,7 +115,7 @@
 
     def pause(received: fakes.Received) -> None:
         received.sock.sendall(received.stream_head() + b"data: {0}\n\nda")
-        released.wait(fakes.PATIENCE_S)
+        released.wait()
 
     silent = world.agent("g/0", pause)
     world.agent("g/1", fakes.send_events)
@@ -142,6 +141,8 @@
         program.request(body=fakes.completion())
     assert b"event: error" in caught.value.partial
     assert fakes.DONE not in caught.value.partial
+    # Part of the answer was delivered, so the call cannot be "not run".
+    assert b'"outcome":"unknown"' in caught.value.partial
 
 
 def test_answer_to_another_request_is_refused(world):
@@ -259,20 +260,15 @@
     """Work whose caller is gone must not go on at the engine."""
     ended = threading.Event()
 
-    def endless(received: fakes.Received) -> None:
-        try:
-            if b"true" in received.body:
-                received.sock.sendall(received.stream_head())
-                while True:
-                    received.sock.sendall(b"data: {}\n\n")
-                    time.sleep(0.01)
+    def pause(received: fakes.Received) -> None:
+        if b"true" in received.body:
+            received.sock.sendall(received.stream_head() + b"data: {}\n\n")
+        with contextlib.suppress(OSError):
             received.sock.recv(1)
-            ended.set()
-        except OSError:
-            ended.set()
+        ended.set()
 
-    world.agent("g/0", endless)
-    program = world.program()
+    world.agent("g/0", pause)
+    program = world.program(silence_timeout_s=60.0)
     for stream in (True, False):
         body = fakes.completion(stream)
         caller = socket.create_connection(("127.0.0.1", program.port))
@@ -282,7 +278,9 @@
             % (fakes.KEY.encode(), len(body), body)
         )
         if stream:
-            caller.recv(1)
+            # With nothing left unread, the caller's end is a plain FIN.
+            while not caller.recv(4096).endswith(b"data: {}\n\n\r\n"):
+                pass
         else:
             fakes.wait_for(lambda: len(world.agents[0].received) == 2)
         caller.close()
