Make the slow caller's test fill the sockets' buffers

Cause: the test passed with its guard removed, since 0.8 MB fit into the buffers. Ruled out: a small receive buffer at the caller, with which 9 MB did not arrive within 60 s. Before: the test could not fail. After: it failed with `unsent` no longer kept, and passes with it.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -471,7 +471,7 @@
 
 def test_slow_caller_gets_every_byte(world):
     """Bytes that the caller's socket did not take must not be lost."""
-    count = 60_000
+    count = 600_000
 
     def chunked(received: fakes.Received) -> None:
         parts = fakes.events(count)
@@ -488,8 +488,6 @@
     world.agent("g/0", chunked)
     program = world.program()
     connection = http.client.HTTPConnection("127.0.0.1", program.port)
-    connection.connect()
-    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     connection.request(
         "POST",
         "/v1/chat/completions",
