Let a refusal speak for the key and not only for its attempt

Cause: an entry that refused a resend before reading the register (no configuration, stale configuration, no reply of control) told 'not-run' for a key whose earlier request had run. A caller who trusts that files its order anew.

Ruled out: reading the register before every refusal, since it is not to be had in just these cases; leaving it to the caller to know that it resends.

Change: 'outcome' is 'unknown' unless the register showed that the key has not run; 'attempt' tells of this very request.

--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -196,6 +196,8 @@
         try:
             answer = self._answer(request, request_ids, environ)
         except problem.Problem as error:
+            if call_module.has_key(request.headers):
+                error.limit_to_attempt()
             headers.update(error.headers())
             # The rest of a refused body is not read.
             headers["Connection"] = "close"
@@ -205,6 +207,7 @@
                 request=request_ids[1],
                 status=error.status,
                 outcome=error.outcome.value,
+                attempt=error.attempt.value,
                 reason=error,
             )
             return _respond(error.status, headers, error.body(request_ids[0]))
--- a/src/flamingocleat/request/call.py
+++ b/src/flamingocleat/request/call.py
@@ -320,6 +320,12 @@
     return given if _TRACEPARENT.fullmatch(given) else ""
 
 
+def has_key(headers: collections.abc.Mapping[str, str]) -> bool:
+    """Return whether a request has a key that the register may know."""
+    key = headers.get("idempotency-key", "").strip().lower()
+    return _KEY.fullmatch(key) is not None
+
+
 def _key(headers: collections.abc.Mapping[str, str], now_unix_s: float) -> str:
     key = headers.get("idempotency-key", "").strip().lower()
     if "idempotency-key" not in headers:
--- a/src/flamingocleat/request/claim.py
+++ b/src/flamingocleat/request/claim.py
@@ -99,6 +99,8 @@
         self.register = register
         self.uncertain = ""
         """Why the call under this key may run or have run, if so."""
+        self.read = False
+        """True once the register has shown that the key has not run."""
 
     def run(self) -> messages.Answer:
         """Return the answer, or raise the Problem that tells the outcome."""
@@ -129,6 +131,7 @@
             ):
                 # From here on the reply of the agent releases it.
                 resources.pop_all()
+                self.read = True
                 return self._dispatch(candidate, permit)
         return self._read(reply)
 
@@ -163,6 +166,7 @@
             messages.ClaimState.UNKNOWN_KEY,
             messages.ClaimState.CANCELLED,
         ):
+            self.read = True
             raise self._refusal(self.attempts.reason)
         return self._read(reply)
 
@@ -171,16 +175,20 @@
         if reply.state is messages.ClaimState.ANSWERED:
             return _recorded(reply)
         if reply.state is messages.ClaimState.CANCELLED:
+            self.read = True
             return None
         if reply.state is messages.ClaimState.CONFLICT:
-            raise problem.Problem(
+            conflict = problem.Problem(
                 422,
                 "Idempotency-Key was used before",
                 "the key belongs to another call",
             )
+            conflict.covers_key = True
+            raise conflict
         if reply.state is messages.ClaimState.EXPIRED:
             raise problem.malformed("Idempotency-Key is out of its window")
         if reply.state is messages.ClaimState.UNKNOWN_KEY:
+            self.read = True
             raise self._refusal("the register takes no more keys")
         self.uncertain = _LOST
         return self._wait(reply)
@@ -229,6 +237,7 @@
             raise self._refusal(self.uncertain) from error
         if reply.state is messages.ClaimState.CANCELLED:
             self.uncertain = ""
+            self.read = True
         else:
             self.uncertain = _LOST
 
@@ -300,6 +309,7 @@
             return _recorded(reply)
         if reply.state is messages.ClaimState.CANCELLED:
             self.uncertain = ""
+            self.read = True
             return None
         raise self._refusal("the register no longer has the key")
 
@@ -317,11 +327,13 @@
             return problem.unknown(
                 f"{self.uncertain}; ask again with the same key", 1
             )
-        if not self._remaining_s():
-            return problem.too_late(problem.Outcome.NOT_RUN)
-        return problem.unavailable(
-            f"{reason}; an earlier request with this key is not covered"
+        refusal = (
+            problem.unavailable(reason)
+            if self._remaining_s()
+            else problem.too_late(problem.Outcome.NOT_RUN)
         )
+        refusal.covers_key = self.read
+        return refusal
 
 
 async def _void(
--- a/src/flamingocleat/request/problem.py
+++ b/src/flamingocleat/request/problem.py
@@ -19,12 +19,19 @@
 
 
 class Document(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Body of a refusal; `outcome` and `request_id` are extensions."""
+    """Body of a refusal; the last three members are extensions.
+
+    `attempt` tells whether this very request was run. `outcome` tells
+    whether the call was run by any request: it differs for a request with
+    an Idempotency-Key that was refused before the register was read, since
+    an earlier request with the same key may have run.
+    """
 
     title: str
     status: int
     detail: str
     outcome: Outcome
+    attempt: Outcome
     request_id: str = ""
 
 
@@ -47,13 +54,26 @@
         self.title = title
         self.detail = detail
         self.outcome = outcome
+        self.attempt = outcome
+        self.covers_key = False
+        """True if the register showed that the key has not run."""
         self.retry_after_s = retry_after_s
 
+    def limit_to_attempt(self) -> None:
+        """Say nothing of earlier requests with the same key."""
+        if not self.covers_key:
+            self.outcome = Outcome.UNKNOWN
+
     def body(self, request_id: ids.RequestId) -> bytes:
         """Return the document as JSON."""
         return msgspec.json.encode(
             Document(
-                self.title, self.status, self.detail, self.outcome, request_id
+                self.title,
+                self.status,
+                self.detail,
+                self.outcome,
+                self.attempt,
+                request_id,
             )
         )
 
