Let a leaving member wait for its lead, not for control's release

Cause: control takes a group for idle from the load that the lead reports. That load lags behind the calls, so a group could be released while streams are in flight, and a member that stopped on the release cut them.

Ruled out: stopping at the release, as first built. The reported load counts the agent's own calls in flight at least, so control learns of a call with the next status.

Each guard was changed back in a scratch copy and its test failed (stop at the release; load as the engine reports it).

Conclusion: a planned stop cuts no stream even if control is early. Control should still look at AgentStatus.in_flight of the lead.

--- a/src/flamingocleat/process/agent.py
+++ b/src/flamingocleat/process/agent.py
@@ -11,6 +11,7 @@
 
 import cheroot.wsgi
 import grpclib.server
+import msgspec
 
 from flamingocleat import errors
 from flamingocleat import ids
@@ -127,8 +128,6 @@
             codec=codec.Codec(),
         )
         self.lead_task: asyncio.Task[None] | None = None
-        self.released = False
-        """Control has taken the assignment of this leaving VM away."""
         self.shown: tuple[object, ...] = ()
 
     def wsgi(
@@ -153,6 +152,12 @@
         lead = self.gate.lead
         return self.membership.leaving or (lead is not None and lead.leaving())
 
+    def load(self) -> messages.Load:
+        """Return the backend server's load, which lags behind the calls."""
+        load = self.backend.load()
+        running = max(load.running, len(self.dispatch.calls))
+        return msgspec.structs.replace(load, running=running)
+
     def _not_ready(self) -> str:
         if self.leaving():
             return "leaving"
@@ -176,7 +181,7 @@
             serving=self.serving(),
             leaving=self.membership.leaving,
             loaded=self.backend.status.loaded if self.backend.up else (),
-            load=self.backend.load(),
+            load=self.load(),
             in_flight=len(self.dispatch.calls) if self.leaving() else 0,
         )
 
@@ -188,7 +193,7 @@
             fence=self.membership.fence,
             serving=self.serving(),
             leaving=self.leaving(),
-            load=self.backend.load(),
+            load=self.load(),
         )
 
     def on_order(self, order: messages.AgentOrder) -> None:
@@ -196,7 +201,6 @@
         if order.leave and not self.shutdown.requested.is_set():
             self.shutdown.request("drained by order")
         if order.assignment is None:
-            self.released = self.membership.leaving
             if order.preload and self.membership.assignment is None:
                 model, _, version = order.preload.rpartition("@")
                 self.backend.want(
@@ -312,15 +316,17 @@
         ) and self.reports.all_know_leaving()
 
     def _free(self) -> bool:
-        """Return whether no lead may count on this VM."""
+        """Return whether no lead may count on this VM.
+
+        Once control has released the group, its lead tells that it is
+        drained, or takes another assignment and falls silent. The release
+        alone is no reason to stop: the lead may have streams in flight.
+        """
         member = self.membership
         if member.assignment is None or member.is_lead():
             return True
-        return (
-            self.released
-            or member.drained
-            or member.clock() - member.answered_s > heartbeat.READY_WAIT_S
-        )
+        silence_s = member.clock() - member.answered_s
+        return member.drained or silence_s > heartbeat.READY_WAIT_S
 
     async def _close(self) -> None:
         if self.lead_task is not None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -222,6 +222,32 @@
     assert site.agents[vm].child.wait(agent_support.WAIT_S) == 0
 
 
+def test_release_by_control_cuts_no_stream(site):
+    """Control learns of a stream later than it may release its group."""
+    _, lead = slow_group(site)
+    body = chat("long", 15)
+    response = site.call(lead, body, stream=True)
+    data = response.read1()
+    site.agents["vm-2"].signal(signal.SIGTERM)
+    site.control.orders.clear()
+    wait_until(lambda: site.control.statuses["vm-1"].in_flight, "in flight")
+    data += response.read()
+    assert data == standins.stream(body, 15)
+    assert site.agents["vm-2"].child.wait(agent_support.WAIT_S) == 0
+
+
+def test_calls_in_flight_are_reported_before_the_engine_does(site):
+    """Control would release a group that the engine reports as idle."""
+    engine = site.standin("engine", *SLOW, "--load-lag-ms", "60000")
+    site.agent("vm-1", engine)
+    site.control.assign(5, ["vm-1"])
+    lead = site.control.wait_serving("vm-1", 5)
+    response = site.call(lead, chat("long", 20), stream=True)
+    running = site.control.statuses
+    wait_until(lambda: running["vm-1"].load.running == 1, "load")
+    response.close()
+
+
 def test_stop_by_order(site):
     """A drained VM must leave as on SIGTERM."""
     site.group(5, "vm-1")
