Match requests by the entry's suffix; prove that a group stops by itself

Cause: the entry passes '<caller's id>.<suffix>' on, so the check of false refusals compared ids that never matched and only its second rule, by key and time, could find a fault. Two tests of groups passed with their guard removed: the lost member's group was replaced by control in any case, and the streams of the other test may not have run on the lead that was killed.

Ruled out: a fault in the programs; the checks were too weak.

Conclusion: both are to be seen to fail with their guards removed.

--- a/tests/system/test_groups.py
+++ b/tests/system/test_groups.py
@@ -68,21 +68,51 @@
     assert caller.complete("site 17").data.endswith(DONE)
 
 
+def test_group_stops_by_itself_while_control_is_down(deployment):
+    """Only the lead's own check can stop a group that control cannot see."""
+    made = workload.configuration(
+        replicas=1, stale=schema.StaleConfiguration.SERVE
+    )
+    caller = scenario.start(deployment, made, engines=3)
+    group = scenario.serving(deployment)[0]
+    for process in deployment.control.values():
+        process.kill()
+    assert caller.complete("site 17").data.endswith(DONE)
+    deployment.backend_servers[group["members"][-1]].agent.kill()
+    local.wait_for(
+        lambda: caller.complete("site 17", tokens=1).status == 503,
+        "the group to stop",
+    )
+    lead = scenario.journal(deployment, group["members"][0])
+    arrived = len(workload.read_journal(lead))
+    for _ in range(20):
+        reply = caller.complete("site 17", tokens=1)
+        assert (reply.status, reply.json()["outcome"]) == (503, "not-run")
+    assert len(workload.read_journal(lead)) == arrived
+
+
 def test_streams_are_whole_after_the_lead_is_lost(deployment):
     """A stream that ends early or doubles an event is no whole answer."""
     caller = scenario.start(deployment, workload.configuration(spares=1))
     prompts = [f"objection {number}" for number in range(8)]
     expected = {p: caller.complete(p, 60).data for p in prompts}
     answers = {}
+    begun = threading.Barrier(len(prompts) + 1)
 
     def ask(prompt):
-        answers[prompt] = caller.complete(prompt, 60).data
+        reply = caller.complete(prompt, 60, stream=True, live=True)
+        first = reply.read1()
+        begun.wait(local.START_LIMIT_S)
+        answers[prompt] = first + reply.read()
 
     threads = [threading.Thread(target=ask, args=(p,)) for p in prompts]
     for thread in threads:
         thread.start()
-    lead = scenario.serving(deployment)[0]["members"][0]
-    deployment.backend_servers[lead].agent.kill()
+    begun.wait(local.START_LIMIT_S)
+    leads = [g["members"][0] for g in scenario.serving(deployment)]
+    busiest = max(leads, key=lambda vm: _in_flight(deployment, vm))
+    assert _in_flight(deployment, busiest)
+    deployment.backend_servers[busiest].agent.kill()
     for thread in threads:
         thread.join()
     assert answers == expected
--- a/tests/system/test_workload.py
+++ b/tests/system/test_workload.py
@@ -11,7 +11,7 @@
 
 def test_check_finds_each_fault():
     """A check that passes everything would prove nothing."""
-    run = workload.Run("k", "r1", _DIGEST)
+    run = workload.Run("k", "r1.0123456789abcdef", _DIGEST)
     answered = workload.Told("k", "r1", 200, "answered", _BODY)
     refused = workload.Told("k", "r1", 503, "not-run")
     check = workload.check_orders
--- a/tests/system/workload.py
+++ b/tests/system/workload.py
@@ -125,8 +125,14 @@
         )
 
     def complete(
-        self, prompt: str, tokens: int = 20, stream: bool = True, **options: str
+        self,
+        prompt: str,
+        tokens: int = 20,
+        stream: bool = True,
+        live: bool = False,
+        **options: str,
     ) -> urllib3.BaseHTTPResponse:
+        """Ask for a completion; a live reply is read by the caller."""
         body = {
             "model": MODEL,
             "stream": stream,
@@ -134,7 +140,8 @@
             "messages": [{"role": "user", "content": prompt}],
         }
         data = json.dumps(body).encode()
-        return self.call("POST", "/v1/chat/completions", body=data, **options)
+        path = "/v1/chat/completions"
+        return self.call("POST", path, body=data, stream=live, **options)
 
     def order(self, key: str, entry: str, body: bytes) -> Told:
         """Send a non-repeatable call once and say what came of it."""
@@ -279,7 +286,8 @@
     ran_at: dict[str, list[float]] = {}
     for run in ran:
         ran_at.setdefault(run.key, []).append(run.time_s)
-    ran_requests = {run.request_id for run in ran}
+    # The entry adds a suffix to the id that the caller chose.
+    ran_requests = {run.request_id.partition(".")[0] for run in ran}
     verdict.run_twice = [key for key, times in ran_at.items() if times[1:]]
     for key, items in by_key.items():
         answers = {i.body for i in items if i.outcome == "answered"}
