Keep cancellations that come as an event is set

Its log ended with the session's time-out while it was serving calls. In Python 3.11 asyncio.wait_for returns normally when it is cancelled in the tick in which its future has completed, so the session's sender, which loops over such a wait, missed its cancellation and the session waited for it for good. The same loop stood in the timer, in load reports and in the handlers of both directions of a stream.

Conclusion: explains the stuck agent, and may explain the time-out seen once in test_frozen_lead_does_not_serve_after_it_goes_on.

--- a/src/flamingocleat/connection/announce.py
+++ b/src/flamingocleat/connection/announce.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import typing
 
 from flamingocleat import messages
 from flamingocleat.connection import channel
 from flamingocleat.connection import codec
+from flamingocleat.connection import duplex
 from flamingocleat.connection import fault
 from flamingocleat.connection import leader
 from flamingocleat.process import logs
@@ -80,12 +80,10 @@
 
     async def _send(self, stream: typing.Any) -> None:
         while True:
-            self.changed.clear()
             status = self.status()
             await stream.send_message(status)
             self.sent = status
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), STATUS_INTERVAL_S)
+            await duplex.wait_event(self.changed, STATUS_INTERVAL_S)
 
     async def _receive(
         self, stream: typing.Any, silence: asyncio.Timeout, address: str
--- a/src/flamingocleat/connection/duplex.py
+++ b/src/flamingocleat/connection/duplex.py
@@ -27,9 +27,14 @@
 
 
 async def wait_event(event: asyncio.Event, timeout_s: float) -> None:
-    """Wait until the event is set, at most for timeout_s, and clear it."""
+    """Wait until the event is set, at most for timeout_s, and clear it.
+
+    In Python 3.11, asyncio.wait_for loses a cancellation that comes as the
+    event is set, and a task that loops over it would then never end.
+    """
     with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(event.wait(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
     event.clear()
 
 
--- a/src/flamingocleat/connection/report.py
+++ b/src/flamingocleat/connection/report.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import typing
 
 import msgspec
@@ -61,15 +60,11 @@
         self.watchers.add(watcher)
         try:
             while True:
-                watcher.changed.clear()
                 report = self._next(watcher)
                 async with asyncio.timeout(_SEND_S):
                     await stream.send_message(report)
                 watcher.sent = report
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(
-                        watcher.changed.wait(), REPORT_INTERVAL_S
-                    )
+                await duplex.wait_event(watcher.changed, REPORT_INTERVAL_S)
         finally:
             self.watchers.discard(watcher)
 
--- a/src/flamingocleat/connection/session.py
+++ b/src/flamingocleat/connection/session.py
@@ -267,7 +267,8 @@
 
 async def _receive(stream: typing.Any) -> messages.AgentStatus | None:
     try:
-        return await asyncio.wait_for(stream.recv_message(), LOST_AFTER_S)
+        async with asyncio.timeout(LOST_AFTER_S):
+            return await stream.recv_message()
     except TimeoutError as error:
         raise grpclib.GRPCError(
             grpclib.const.Status.DEADLINE_EXCEEDED,
--- a/src/flamingocleat/connection/view.py
+++ b/src/flamingocleat/connection/view.py
@@ -263,7 +263,8 @@
 
 async def _receive(stream: typing.Any) -> messages.EntryStatus | None:
     try:
-        return await asyncio.wait_for(stream.recv_message(), SILENT_AFTER_S)
+        async with asyncio.timeout(SILENT_AFTER_S):
+            return await stream.recv_message()
     except TimeoutError as error:
         raise grpclib.GRPCError(
             grpclib.const.Status.DEADLINE_EXCEEDED,
--- a/src/flamingocleat/process/agent.py
+++ b/src/flamingocleat/process/agent.py
@@ -301,7 +301,8 @@
         await _until(self._free, None)
         await asyncio.sleep(max(0.0, notice_until - loop.time()))
         try:
-            await asyncio.wait_for(self.shutdown.wait_idle(), _RECORD_S)
+            async with asyncio.timeout(_RECORD_S):
+                await self.shutdown.wait_idle()
         except TimeoutError:
             logs.error(
                 _log,
--- a/src/flamingocleat/process/timer.py
+++ b/src/flamingocleat/process/timer.py
@@ -75,7 +75,8 @@
             timeout = max(0.0, self.due[0][0] - time.monotonic())
         self.wakeup.clear()
         try:
-            await asyncio.wait_for(self.wakeup.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self.wakeup.wait()
         except TimeoutError:
             return
 
