--- a/src/flamingocleat/connection/report.py
+++ b/src/flamingocleat/connection/report.py
@@ -9,6 +9,7 @@
 from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.connection import backend
+from flamingocleat.connection import duplex
 
 REPORT_INTERVAL_S = 0.25
 _SEND_S = 10.0
