--- a/bench/peers.py
+++ b/bench/peers.py
@@ -161,11 +161,16 @@
         )
 
     async def session(self, stream: typing.Any) -> None:
-        """Give an agent its assignment after each status."""
+        """Give an agent its assignment after each status, once whole."""
+        given: messages.AgentOrder | None = None
         while (told := await stream.recv_message()) is not None:
             self.seen = told
             order = messages.AgentOrder(assignment=self.assignment)
-            self.traffic.count(order, self.seen)
+            if order == given:
+                order = messages.AgentOrder(unchanged=True)
+            else:
+                given = order
+            self.traffic.count(order, told)
             await stream.send_message(order)
 
     async def view(self, stream: typing.Any) -> None:
