Use one list of broken-connection errors and one wait in the entry's watch

Cause: connection/watch.py listed again what fault.FAULTS has, without HTTP/2 errors such as used-up stream ids, which would have ended the entry's watch; and it had its own copy of duplex.wait_event.

Ruled out: merging the lists of request/attempt.py and connection/peer.py too; they belong to other libraries or callers.

Before: two lists and two waits. Conclusion: the watch survives what the agent's session survives; no test covers the HTTP/2 errors there.

--- a/src/flamingocleat/connection/watch.py
+++ b/src/flamingocleat/connection/watch.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import collections.abc
-import contextlib
 import itertools
 import threading
 import time
@@ -11,7 +10,6 @@
 import grpclib
 import grpclib.client
 import grpclib.const
-import grpclib.exceptions
 import msgspec
 
 from flamingocleat import errors
@@ -19,6 +17,8 @@
 from flamingocleat import messages
 from flamingocleat.connection import channel
 from flamingocleat.connection import codec
+from flamingocleat.connection import duplex
+from flamingocleat.connection import fault
 from flamingocleat.process import logs
 from flamingocleat.process import settings
 from flamingocleat.version import routing
@@ -33,15 +33,7 @@
 
 _log = logs.logger("watch")
 
-FAILURES = (
-    grpclib.GRPCError,
-    grpclib.exceptions.StreamTerminatedError,
-    grpclib.exceptions.ProtocolError,
-    OSError,
-    TimeoutError,
-    errors.ProtocolError,
-    msgspec.MsgspecError,
-)
+FAILURES = (*fault.FAULTS, errors.ProtocolError, msgspec.MsgspecError)
 
 
 class State(msgspec.Struct, frozen=True):
@@ -186,9 +178,7 @@
         self, stream: grpclib.client.Stream, session: Session
     ) -> None:
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(STATUS_INTERVAL_S):
-                    await self.taken.wait()
+            await duplex.wait_event(self.taken, STATUS_INTERVAL_S)
             await self._send(stream, session)
 
     async def _send(
