Weigh the silence of a head with the prompts that it reads

The streams of a lost group had gone on at it all at once: 33 prompts, 1.1 s of reading, in which its own streams paused for 0.36 s. All gateways took that for a lost member, ended all 33 streams and avoided the head for 4.5 s; the leader found its members alive and kept the group. Ruled out: a partition (probes reached all members), a lying health check (not used), the stall of the former head (another group).

Change: the limit grows with the time to read what is unread, in all gateways; a silent head is tried again after 1, 2, 4 s by one request that may go on elsewhere, and that trial is ended if it is silent too; a gateway that stood still itself waits until it could have heard heads; what a head reads in a second comes with the leader's list, also for groups across domains.

--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -438,6 +438,8 @@
     slots: int
     model: str = ""
     group: str = ""
+    read_per_s: float = 0.0
+    """Prompt tokens that it reads in a second; 0 if that is not known."""
 
 
 class Elsewhere(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -462,8 +462,13 @@
                 head = self.fleet.backends.get(group.head)
                 if head is not None:
                     view = _served(head.said, group)
-                    places = min(view.slots, keeper.places(group))
-                    served.append(msgspec.structs.replace(view, slots=places))
+                    served.append(
+                        msgspec.structs.replace(
+                            view,
+                            slots=min(view.slots, keeper.places(group)),
+                            read_per_s=keeper.read_per_s(group),
+                        )
+                    )
         served.sort(key=lambda each: each.backend)
         return tuple(served)
 
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -175,11 +175,6 @@
             )
             return
         self.forwarder.directory = catalog_module.Directory(catalog)
-        self.placing.engines = {
-            service.name: service.engine.bounded()
-            for service in catalog.services
-            if service.engine is not None
-        }
         logs.info(_log, "catalog_taken", version=catalog.version)
 
     def _report(self, sequence: int) -> messages.GatewayReport:
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -19,7 +19,6 @@
 from flamingocleat import errors
 from flamingocleat import ids
 from flamingocleat.version import candidates as candidates_module
-from flamingocleat.version import catalog
 
 WAIT_PART = 0.25
 """Part of the objective in which a request must find a place to be on time; the
@@ -71,6 +70,8 @@
     """On the monotonic clock."""
     arrived_s: float
     prompt_tokens: int = 0
+    repeatable: bool = True
+    """It may be sent again after it may have run."""
 
     @property
     def on_time_until_s(self) -> float:
@@ -148,7 +149,6 @@
         self.data_centre = data_centre
         self.candidates = candidates
         self.clock = clock
-        self.engines: dict[ids.ServiceId, catalog.Engine] = {}
         self.waiting: list[_Waiting] = []
         self.duration_s: dict[tuple[ids.ServiceId, str], float] = {}
         """Mean time that a request holds its place, by service and model."""
@@ -292,7 +292,11 @@
         ]
         if demand.model:
             # A head that failed is better than none; a silent one is not.
-            able = [e for e in able if not e.is_silent(now_s)]
+            able = [
+                e
+                for e in able
+                if not e.is_silent(now_s, repeatable=demand.repeatable)
+            ]
         able = [e for e in able if not e.is_avoided(now_s)] or able
         return min(
             able, key=lambda each: self._cost(each, demand), default=None
@@ -315,10 +319,7 @@
         self, candidate: candidates_module.Candidate, demand: Demand
     ) -> tuple[float, str]:
         cost = candidate.total / max(1, candidate.view.slots)
-        engine = self.engines.get(demand.service)
-        if engine is not None and demand.model:
-            unread = candidate.unread_tokens + candidate.unread_elsewhere
-            cost += unread / engine.read_per_s / max(0.05, demand.objective_s)
+        cost += candidate.reading_s / max(0.05, demand.objective_s)
         if candidate.view.data_centre != self.data_centre:
             cost += REMOTE_PENALTY
         return cost, candidate.view.backend
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -140,7 +140,7 @@
             objective_s=route.objective_s,
             deadline_s=self.deadline_s,
             arrived_s=exchange.arrived_s,
-            prompt_tokens=int(tokens) if tokens.isdigit() else 0,
+            prompt_tokens=_prompt_tokens(tokens, service),
         )
         self.sent = 0
         """Servers that the request was sent to."""
@@ -156,6 +156,11 @@
             return self.route.resumable
         return self.route.kind is catalog.CallKind.IDEMPOTENT
 
+    @property
+    def may_be_sent_again(self) -> bool:
+        """Whether it could go on elsewhere once it has been sent."""
+        return self.is_repeatable and self.sent + 1 < self.route.max_attempts
+
     def remaining_s(self) -> float:
         """Return the time until the deadline."""
         return self.deadline_s - time.monotonic()
@@ -172,7 +177,7 @@
         self.writing = False
         self.prompt_tokens = call.demand.prompt_tokens
         self.client: http.Client | None = None
-        self.may_move = call.is_repeatable
+        self.may_move = call.may_be_sent_again
         self.interrupted = ""
 
     def interrupt(self, reason: str) -> None:
@@ -281,12 +286,15 @@
         tried: frozenset[ids.BackendId],
     ) -> candidates_module.Candidate:
         begun = call.exchange.started
+        demand = msgspec.structs.replace(
+            call.demand, repeatable=call.may_be_sent_again
+        )
         try:
-            return await self.placing.place(call.demand, tried, begun=begun)
+            return await self.placing.place(demand, tried, begun=begun)
         except admission.NoPlaceError as error:
             if tried and not begun:
                 # Another try at the same server is better than none.
-                found = self.placing.take(call.demand)
+                found = self.placing.take(demand)
                 if found is not None:
                     return found
             if call.may_have_run:
@@ -335,8 +343,8 @@
             now_s = time.monotonic()
             candidate.refused = error.refused
             candidate.failed(now_s)
-            if candidate.view.model and candidate.suspect_s is None:
-                candidate.suspect_s = now_s
+            if candidate.view.model:
+                candidate.suspect(now_s)
             raise AttemptError(Failure.NOT_SENT, str(error)) from error
         attempt.client = client
         attempt.started_s = time.monotonic()
@@ -622,6 +630,13 @@
     return value if value >= 0 else 0.0
 
 
+def _prompt_tokens(text: str, service: catalog.Service) -> int:
+    """Return how long a prompt is, by the caller or as usual."""
+    if text.isdigit():
+        return int(text)
+    return round(service.engine.mean_prompt_tokens) if service.engine else 0
+
+
 def _priority(route: catalog.Route, customer: catalog.Customer | None) -> int:
     if customer is not None and customer.priority is not None:
         return customer.priority
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -13,9 +13,20 @@
 are a lost member."""
 WAITING_SILENCE_S = 1.0
 """The same while it only reads prompts: the first event takes longer."""
+READ_MARGIN = 1.5
+"""Times the reading of all prompts that a head has not read yet that its
+silence may last beyond these: it writes less often while it reads."""
+TRIAL_S = 1.0
+"""How long a silent head is avoided; then one request that can go on
+elsewhere tries it. Control has found a lost member by then, and closed the
+group; a head that is still named was perhaps only busy. The pause doubles with
+each trial that fails."""
 SUSPECT_S = 4.5
-"""How long a silent head is avoided; then one request may try it. A head
-that lost a member answers 503 after its stall time, 4 s."""
+"""The longest pause, and the one before other requests: a head that lost a
+member answers 503 after its stall time, 4 s."""
+STANDSTILL_S = 0.25
+"""A check that comes this much too late shows that this process stood still
+itself; it could not hear any head meanwhile."""
 PENALTY_S = 2.0
 """How long a plain backend server is avoided after a failure."""
 
@@ -43,7 +54,9 @@
         self.reached_s = float("-inf")
         """When it last sent a byte or accepted a connection."""
         self.suspect_s: float | None = None
-        """Since when it counts as silent."""
+        """Since when it counts as silent, or when the last trial failed."""
+        self.trials = 0
+        """Trials that have failed since it was last heard."""
         self.refused = False
         self.penalty_until_s = float("-inf")
         self.failures = 0
@@ -58,10 +71,19 @@
         """Prompt tokens of own requests whose first byte is awaited."""
         return sum(work.prompt_tokens for work in self.work if not work.writing)
 
+    @property
+    def reading_s(self) -> float:
+        """Time to read all prompts whose first byte is awaited."""
+        if not self.view.read_per_s:
+            return 0.0
+        unread = self.unread_tokens + self.unread_elsewhere
+        return unread / self.view.read_per_s
+
     def heard(self, now_s: float) -> None:
         """Note a sign of life."""
         self.reached_s = now_s
         self.suspect_s = None
+        self.trials = 0
         self.refused = False
 
     def succeeded(self) -> None:
@@ -74,11 +96,23 @@
         self.failures += 1
         self.penalty_until_s = now_s + PENALTY_S * min(4, self.failures)
 
-    def is_silent(self, now_s: float) -> bool:
-        """Return whether it counts as silent, and may not be tried yet."""
-        return self.suspect_s is not None and (
-            self.in_flight > 0 or now_s - self.suspect_s < SUSPECT_S
-        )
+    def suspect(self, since_s: float) -> None:
+        """Count as silent, or as silent still where a trial failed."""
+        if self.suspect_s is not None:
+            self.trials += 1
+        self.suspect_s = since_s
+
+    def is_silent(self, now_s: float, *, repeatable: bool = True) -> bool:
+        """Return whether it counts as silent, and may not be tried yet.
+
+        repeatable: the request can go on elsewhere if the trial fails.
+        """
+        if self.suspect_s is None:
+            return False
+        pause_s = SUSPECT_S
+        if repeatable:
+            pause_s = min(SUSPECT_S, TRIAL_S * 2**self.trials)
+        return self.in_flight > 0 or now_s - self.suspect_s < pause_s
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether requests should go elsewhere."""
@@ -86,16 +120,27 @@
             return self.is_silent(now_s)
         return now_s < self.penalty_until_s
 
-    def check_silence(self, now_s: float) -> bool:
-        """Return whether it became silent, with work in hand."""
-        if self.suspect_s is not None or not self.work:
+    def check_silence(self, now_s: float, awake_s: float) -> bool:
+        """Return whether work in hand shows it to be silent.
+
+        awake_s: since when this process has run without a pause.
+        """
+        since_s = self.suspect_s
+        work = [
+            each
+            for each in self.work
+            if since_s is None or each.started_s > since_s
+        ]
+        if not work:
             return False
-        writing = [work for work in self.work if work.writing]
+        writing = [each for each in work if each.writing]
         limit_s = WRITING_SILENCE_S if writing else WAITING_SILENCE_S
-        begun_s = min(work.started_s for work in writing or self.work)
-        if now_s - max(self.reached_s, begun_s) < limit_s:
+        limit_s += READ_MARGIN * self.reading_s
+        begun_s = min(each.started_s for each in writing or work)
+        silent_s = max(self.reached_s, begun_s, awake_s)
+        if now_s - silent_s < limit_s:
             return False
-        self.suspect_s = max(self.reached_s, begun_s)
+        self.suspect(silent_s if since_s is None else now_s)
         return True
 
     def report(self, now_s: float) -> messages.HeadReport:
@@ -123,6 +168,9 @@
         self.clock = clock
         self.by_backend: dict[ids.BackendId, Candidate] = {}
         self.changed: list[collections.abc.Callable[[], None]] = []
+        self.checked_s = float("inf")
+        self.awake_s = float("-inf")
+        """Since when checks for silence have come in time."""
 
     def update(
         self, backends: collections.abc.Iterable[messages.ServedBackend]
@@ -163,10 +211,13 @@
     def check_silence(self) -> list[Candidate]:
         """Return the candidates that became silent."""
         now_s = self.clock()
+        if now_s - self.checked_s > STANDSTILL_S:
+            self.awake_s = now_s
+        self.checked_s = now_s
         return [
             each
             for each in self.by_backend.values()
-            if each.view.model and each.check_silence(now_s)
+            if each.view.model and each.check_silence(now_s, self.awake_s)
         ]
 
     def subscribe(self, callback: collections.abc.Callable[[], None]) -> None:
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -108,6 +108,15 @@
         assert self.engine is not None
         return formation.places(self.engine, spans=self._spans_domains(group))
 
+    def read_per_s(self, group: Group) -> float:
+        """Return how many prompt tokens a group reads in a second."""
+        assert self.engine is not None
+        model = self._model(group.model)
+        factor = max(model.pace, 0.01) if model else 1.0
+        if self._spans_domains(group):
+            factor *= self.engine.cross_domain_factor
+        return self.engine.read_per_s / factor
+
     def doubtful(self, now_s: float) -> list[fleet_module.Backend]:
         """Return members whose reachability the leader should check."""
         found = []
--- a/tests/direct/support.py
+++ b/tests/direct/support.py
@@ -189,7 +189,6 @@
     def __init__(self) -> None:
         self.candidates = candidates.Candidates()
         self.placing = admission.Admission("a", self.candidates)
-        self.placing.engines = {"llm": ENGINE}
         self.budget = budget.Budget(budget.BudgetSettings())
         self.forwarder = forward.Forwarder(
             DIALECT, self.placing, self.budget, seed=1
--- a/tests/direct/test_admission.py
+++ b/tests/direct/test_admission.py
@@ -29,7 +29,14 @@
         self.placing = admission.Admission("a", self.candidates, self.clock)
         self.candidates.update(
             messages.ServedBackend(
-                f"h-{n}", f"h-{n}:80", "llm", "a", slots, "large", f"g-{n}"
+                f"h-{n}",
+                f"h-{n}:80",
+                "llm",
+                "a",
+                slots,
+                "large",
+                f"g-{n}",
+                46_000.0,
             )
             for n in range(heads)
         )
@@ -78,19 +85,12 @@
 
     async def run():
         place = Place(slots=24)
-        place.placing.engines = {"llm": support_engine()}
         place.candidates.update_load([messages.Elsewhere("h-0", 1, 20_000)])
         assert [await place.place() for _ in range(3)] == ["h-1"] * 3
 
     asyncio.run(run())
 
 
-def support_engine():
-    from tests.direct import support
-
-    return support.ENGINE
-
-
 def test_full_heads_refuse_what_would_wait_for_too_long():
     """A wait beyond a third of the caller's time is refused at once."""
 
