Free the members of a silent head at once; count what VMs are used for

Cause: members of a lost head waited 0.4 s for it to obey an order to leave, although control had found that it cannot be reached; the stall of 4.3 s that frees them began only then.

Also: gauges of VMs by use, places and places taken, and a histogram of the review; one way to read the mean duration in admission; methods of the forwarder that streams use are public.

--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -35,6 +35,7 @@
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
 from flamingocleat.version import orders as orders_module
+from flamingocleat.version import survey as survey_module
 
 _log = logs.logger("coordinator")
 
@@ -84,6 +85,26 @@
 _GROUPS = prometheus_client.Gauge(
     "flamingocleat_coordinator_groups", "Groups that serve"
 )
+_VMS = prometheus_client.Gauge(
+    "flamingocleat_coordinator_vms",
+    "VMs of services with model groups, by what they are used for",
+    ["service", "use"],
+)
+_PLACES = prometheus_client.Gauge(
+    "flamingocleat_coordinator_places",
+    "Requests that open groups should have in hand",
+    ["service", "model"],
+)
+_TAKEN = prometheus_client.Gauge(
+    "flamingocleat_coordinator_places_taken",
+    "Requests that open groups have in hand",
+    ["service", "model"],
+)
+_REVIEW = prometheus_client.Histogram(
+    "flamingocleat_coordinator_review_seconds",
+    "Time that one review of groups takes",
+    buckets=(0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1),
+)
 
 
 class Reply(Exception):  # noqa: N818
@@ -359,6 +380,7 @@
             orders += [(keeper, order) for order in keeper.step(now_s)]
         self._list()
         self.review_s = time.monotonic() - now_s
+        _REVIEW.observe(self.review_s)
         if not orders:
             return
         try:
@@ -596,6 +618,8 @@
         _GROUPS.set(
             sum(len(keeper.serving()) for keeper in self.keepers.values())
         )
+        for service, keeper in self.keepers.items():
+            _measure_keeper(service, keeper)
 
 
 _HANDLERS: dict[type, collections.abc.Callable] = {
@@ -606,6 +630,24 @@
 }
 
 
+def _measure_keeper(
+    service: ids.ServiceId, keeper: groups_module.Keeper
+) -> None:
+    for use in survey_module.Use:
+        _VMS.labels(service, use.value).set(keeper.census[use])
+    if keeper.engine is None:
+        return
+    places = {model.name: 0 for model in keeper.engine.models}
+    taken = dict(places)
+    for group in keeper.serving():
+        if group.model in places:
+            places[group.model] += keeper.places(group)
+            taken[group.model] += keeper.in_flight.get(group.head, 0)
+    for name, count in places.items():
+        _PLACES.labels(service, name).set(count)
+        _TAKEN.labels(service, name).set(taken[name])
+
+
 def _served(
     said: fleet_module.Announcement, group: group_module.Group | None = None
 ) -> messages.ServedBackend:
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -59,6 +59,10 @@
 """Requests that wait in one gateway."""
 
 
+Kind = tuple[ids.ServiceId, str]
+"""A service and, for servers in groups, a model."""
+
+
 class Demand(msgspec.Struct, frozen=True, kw_only=True):
     """What a request asks for."""
 
@@ -82,12 +86,14 @@
         """Return whether its answer would miss the objective."""
         return now_s >= self.on_time_until_s
 
+    @property
+    def kind(self) -> Kind:
+        """What servers it needs."""
+        return self.service, self.model
+
     def competes(self, other: "_Waiting") -> bool:
         """Return whether another request waits for the same servers."""
-        return (self.service, self.model) == (
-            other.demand.service,
-            other.demand.model,
-        )
+        return self.kind == other.demand.kind
 
 
 class NoPlaceError(errors.FlamingocleatError):
@@ -150,9 +156,9 @@
         self.candidates = candidates
         self.clock = clock
         self.waiting: list[_Waiting] = []
-        self.duration_s: dict[tuple[ids.ServiceId, str], float] = {}
+        self.duration_s: dict[Kind, float] = {}
         """Mean time that a request holds its place, by service and model."""
-        self.late_waits: dict[tuple[ids.ServiceId, str], LateWaits] = {}
+        self.late_waits: dict[Kind, LateWaits] = {}
         candidates.subscribe(self.dispatch)
 
     async def place(
@@ -208,21 +214,17 @@
             until_s = now_s
         late_s = min(
             now_s + (demand.deadline_s - now_s) * LATE_PART,
-            demand.deadline_s - self._mean_s(demand) * DURATION_MARGIN,
+            demand.deadline_s - self._mean_s(demand.kind) * DURATION_MARGIN,
         )
         if due_s <= late_s and self._late_waits(demand).is_worthwhile(now_s):
             until_s = late_s
         return min(until_s, demand.deadline_s)
 
-    def _mean_s(self, demand: Demand) -> float:
-        return self.duration_s.get(
-            (demand.service, demand.model), FIRST_GUESS_S
-        )
+    def _mean_s(self, kind: Kind) -> float:
+        return self.duration_s.get(kind, FIRST_GUESS_S)
 
     def _late_waits(self, demand: Demand) -> LateWaits:
-        return self.late_waits.setdefault(
-            (demand.service, demand.model), LateWaits()
-        )
+        return self.late_waits.setdefault(demand.kind, LateWaits())
 
     def _record_wait(self, entry: _Waiting, placed: bool) -> None:
         now_s = self.clock()
@@ -236,7 +238,7 @@
         candidate.in_flight -= 1
         if held_s > 0:
             kind = (candidate.view.service, candidate.view.model)
-            mean_s = self.duration_s.get(kind, FIRST_GUESS_S)
+            mean_s = self._mean_s(kind)
             self.duration_s[kind] = mean_s + SMOOTHING * (held_s - mean_s)
         self.dispatch()
 
@@ -257,7 +259,7 @@
             demand.competes(each) and each.demand.priority <= demand.priority
             for each in self.waiting
         )
-        return (ahead + 1) * self._mean_s(demand) / busy
+        return (ahead + 1) * self._mean_s(demand.kind) / busy
 
     def dispatch(self) -> None:
         """Place those who wait, in order."""
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -398,7 +398,7 @@
             attempt.candidate.failed(time.monotonic())
             raise AttemptError(Failure.UNKNOWN, "no answer in time") from error
         attempt.candidate.heard(time.monotonic())
-        self._check(call, answer)
+        self.check(call, answer)
         if answer.status >= 500 and call.is_repeatable:
             failed = AttemptError(Failure.UNKNOWN, f"status {answer.status}")
             failed.answer = (answer, body)
@@ -406,7 +406,7 @@
         attempt.candidate.succeeded()
         await self.pass_on(call, answer, body)
 
-    def _check(self, call: Call, answer: http.Answer) -> None:
+    def check(self, call: Call, answer: http.Answer) -> None:
         """Raise AttemptError unless this is the server's word on the call."""
         if answer.header(self.dialect.request_id) != call.request_id:
             raise AttemptError(Failure.UNKNOWN, "answer has another id")
@@ -427,7 +427,7 @@
         await call.exchange.respond(
             answer.status, passed_headers(answer.headers), body
         )
-        self._note_answer(call, answer.status, "answered")
+        self.note_answer(call, answer.status, "answered")
 
     def note_first_byte(self, call: Call) -> None:
         """Record the time to the first byte."""
@@ -455,7 +455,7 @@
         """End a call that cannot go on."""
         if call.exchange.started:
             # Left unfinished, so that the answer does not look complete.
-            self._note_answer(call, 0, f"broken off: {error}")
+            self.note_answer(call, 0, f"broken off: {error}")
             return
         if error.answer is not None:
             await self.pass_on(call, *error.answer)
@@ -492,7 +492,7 @@
     async def _time_out(self, exchange: http.Exchange, call: Call) -> None:
         reason = f"no whole answer within {call.route.timeout_s} s"
         if exchange.started:
-            self._note_answer(call, 0, reason)
+            self.note_answer(call, 0, reason)
             return
         status = 504 if call.sent else 503
         await self._refuse(exchange, Refusal(status, reason))
@@ -527,7 +527,8 @@
             reason=error,
         )
 
-    def _note_answer(self, call: Call, status: int, outcome: str) -> None:
+    def note_answer(self, call: Call, status: int, outcome: str) -> None:
+        """Log and count how a call ended; 0 for an answer left unfinished."""
         _ANSWERS.labels(status=str(status)).inc()
         logs.info(
             _log,
@@ -558,7 +559,7 @@
         """Pass events on until the stream ends; raise if it breaks."""
         answer = await client.answer()
         attempt.candidate.heard(time.monotonic())
-        self.forwarder._check(self.call, answer)
+        self.forwarder.check(self.call, answer)
         if answer.status != 200:
             await self._pass_failure(answer, await client.read_all())
             return
@@ -577,7 +578,7 @@
             self.call.exchange.start(200, passed_headers(answer.headers))
         await self.call.exchange.finish()
         attempt.candidate.succeeded()
-        self.forwarder._note_answer(self.call, 200, "answered")
+        self.forwarder.note_answer(self.call, 200, "answered")
 
     async def _pass_failure(self, answer: http.Answer, body: bytes) -> None:
         if self.call.exchange.started:
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -91,6 +91,10 @@
         """Models whose groups lack places for their requests."""
         self.in_flight: collections.abc.Mapping[ids.BackendId, int] = {}
         """Requests in hand at each head, of all gateways."""
+        self.census: collections.Counter[survey_module.Use] = (
+            collections.Counter()
+        )
+        """VMs by what they are used for, as of the last review."""
         self.has_traffic = False
         """Loads are limited once requests have come."""
         self._layout: layout.Plan | None = None
@@ -150,6 +154,7 @@
         for group in list(self.groups.values()):
             orders.extend(_STEPS[group.phase](self, group, now_s))
         survey = self._survey(now_s)
+        self.census = survey.census()
         orders.extend(self._form(survey, now_s))
         self._replace_slow(survey, now_s)
         self._convert(survey, now_s)
@@ -352,13 +357,13 @@
 
     def _may_dismiss(self, group: Group, now_s: float) -> bool:
         """Return whether the head has had its time to end the group."""
-        closing_s = now_s - group.since_s
-        if not group.finish_work:
-            return closing_s >= RESEND_S
         evidence = self.note(group.head)
         # A head that leaves refuses connections while it ends its work.
         is_silent = evidence.silent_s is not None and not evidence.refused
-        return closing_s >= WORK_S or (is_silent and not evidence.serves(now_s))
+        if is_silent and not evidence.serves(now_s):
+            return True
+        limit_s = WORK_S if group.finish_work else RESEND_S
+        return now_s - group.since_s >= limit_s
 
     def _has_ended(
         self,
--- a/src/flamingocleat/version/survey.py
+++ b/src/flamingocleat/version/survey.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import enum
 
 from flamingocleat import ids
 from flamingocleat.version import adoption as adoption_module
@@ -15,6 +16,21 @@
 from flamingocleat.version import group as group_module
 
 
+class Use(enum.Enum):
+    """What a VM is used for."""
+
+    GROUP = "group"
+    """Member of a group, in whatever phase."""
+    IDLE = "idle"
+    """In no group although it holds weights."""
+    EMPTY = "empty"
+    """In no group, and without weights until a load is done."""
+    BOUND = "bound"
+    """Its former head may still serve."""
+    LOST = "lost"
+    """Not heard, not reached, or leaving."""
+
+
 class Survey:
     """VMs that take orders, those that are idle, and the groups that count."""
 
@@ -50,14 +66,25 @@
             self.taken[group.model] += in_flight.get(group.head, 0)
         taken = {member for group in groups for member in group.members}
         heads = _head_states(backends)
-        self.idle = formation.Idle(
-            engine.models,
-            (
-                each
-                for each in self.usable
-                if each.said.backend not in taken
-                and not _is_bound(each, heads, adoption)
-            ),
+        alone = [e for e in self.usable if e.said.backend not in taken]
+        free = [e for e in alone if not _is_bound(e, heads, adoption)]
+        self.idle = formation.Idle(engine.models, free)
+        self.all = len(backends)
+        self.alone = len(alone)
+        """Usable VMs that are no members of a group."""
+
+    def census(self) -> collections.Counter[Use]:
+        """Return how many VMs are used for what."""
+        held = sum(1 for each in self.idle if formation.held(each))
+        free = sum(map(len, self.idle.by_domain.values()))
+        return collections.Counter(
+            {
+                Use.GROUP: len(self.usable) - self.alone,
+                Use.IDLE: held,
+                Use.EMPTY: free - held,
+                Use.BOUND: self.alone - free,
+                Use.LOST: self.all - len(self.usable),
+            }
         )
 
     def add(
--- a/src/flamingocleat/version/weights.py
+++ b/src/flamingocleat/version/weights.py
@@ -29,6 +29,11 @@
 SECOND_PART = 0.5
 """Part of the loads that run at full speed that second weights may take; an
 empty VM should find room."""
+SECOND_VMS = 80
+SECOND_SHARE = 0.1
+"""VMs that hold second weights, at most: the number, or the part of all VMs if
+that is more. They are for losses that hit one model, which a few domains of a
+large region make up for; each load is paid for."""
 
 Loads = list[tuple[fleet_module.Backend, str]]
 """VMs, and the model that each should load."""
@@ -160,7 +165,11 @@
         """Load another model's weights beside those that a VM serves with."""
         now_s = situation.now_s
         loads: Loads = []
+        held = sum(len(formation.held(each)) > 1 for each in situation.usable)
+        limit = max(SECOND_VMS, SECOND_SHARE * len(situation.usable))
         for backend in situation.usable:
+            if held + self.loading >= limit:
+                break
             if not backend.last_model:
                 continue
             if backend.said.backend not in situation.settled:
--- a/tests/direct/test_groups.py
+++ b/tests/direct/test_groups.py
@@ -47,6 +47,22 @@
     assert world.broken == []
 
 
+def test_members_of_a_lost_head_leave_it_at_once(world):
+    """They are free as soon as the head must have stalled.
+
+    A head that is not reached obeys no order, so that none is waited for.
+    """
+    head = world.member("large", 0)
+    name = head.group[0]
+    head.alive = False
+    lost_s = world.now_s
+    while name in world.keeper.groups:
+        world.tick()
+    limit_s = STALL_S + groups.STALL_MARGIN_S + 3 * vms.TICK_S
+    assert world.now_s - lost_s <= limit_s
+    assert world.broken == []
+
+
 @pytest.mark.parametrize("delay_part", [0.0, 0.5])
 def test_survivors_wait_for_a_head_that_may_serve(world, delay_part):
     """A head that nobody reaches is open until it has lacked a member.
--- a/tests/direct/test_weights.py
+++ b/tests/direct/test_weights.py
@@ -4,6 +4,7 @@
 
 from flamingocleat.version import formation
 from flamingocleat.version import orders
+from flamingocleat.version import weights
 from tests.direct import vms
 from tests.direct.vms import ENGINE
 from tests.direct.vms import STALL_S
@@ -172,3 +173,30 @@
         world.fill("large", 16)
         world.tick()
     assert before <= {g.name for g in world.keeper.serving()}
+
+
+def test_second_weights_are_loaded_for_a_part_of_a_large_region():
+    """The loads that are paid for do not grow with all VMs."""
+    world = vms.World(240)
+    for vm in world.vms.values():
+        vm.domain = f"domain-{vm.number // 8}"
+    world.run(12)
+    world.keeper.has_traffic = True
+    world.run(120)
+    both = sum(
+        {vm.model, *vm.staged} == {"large", "small"}
+        for vm in world.vms.values()
+    )
+    assert 70 <= both <= weights.SECOND_VMS
+
+
+def test_use_of_vms_is_counted(world):
+    """An operator sees how many VMs serve, idle, load or wait."""
+    head = world.member("large", 0)
+    head.alive = False
+    world.run(2)
+    counts = {use.value: n for use, n in world.keeper.census.items()}
+    assert sum(counts.values()) == 24
+    assert counts["lost"] == 1
+    assert counts["idle"] == 6
+    assert counts["group"] == 17
