Let several groups of a domain give way together

A group gave way only if it and idle VMs made one of the other model; two small ones, or a small one and the members that a slow group had in its domain, did not.

--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -47,6 +47,8 @@
 SPARE_PART = 0.6
 """A model gives a group up if the others then have at most this part of their
 places taken."""
+MAX_DONORS = 3
+"""Groups that give way together, at most; each ends its requests first."""
 FORMING_S = 6.0
 """Added to twice the load time before a formation is given up."""
 
@@ -606,9 +608,9 @@
         ]
 
     def _convert(self, survey: survey_module.Survey, now_s: float) -> None:
-        """Close a group whose VMs are needed more for another model.
+        """Close groups whose VMs are needed more for another model.
 
-        One at a time: its requests end first, and the model that takes its
+        One change at a time: requests end first, and the model that takes the
         VMs may not be short any more.
         """
         assert self.engine is not None
@@ -618,37 +620,69 @@
             since_s = self.filled_s.get(model.name, now_s)
             if now_s - since_s < CONVERT_S:
                 continue
-            donors = [
-                group
-                for group in self.serving()
-                if self._can_give(group, model, survey)
-            ]
-            if donors:
-                donor = min(
-                    donors, key=lambda each: self.in_flight.get(each.head, 0)
-                )
+            donors = self._find_donors(model, survey)
+            for donor in donors:
                 donor.finish_work = donor.gives_way = True
                 donor.reason = f"its VMs are needed for {model.name}"
                 self._enter(donor, Phase.CLOSING, now_s)
+            if donors:
                 return
 
+    def _find_donors(
+        self, model: catalog_module.Model, survey: survey_module.Survey
+    ) -> list[Group]:
+        """Return the fewest groups that make one of a model, or none.
+
+        Several small groups of a domain make a large one, also together with
+        the members that a slow group of the model has there; with equally
+        many those go that have the fewest requests.
+        """
+        by_domain: dict[str, tuple[list[Group], list[Group]]] = {}
+        for group in self.serving():
+            domains = {host.said.domain for host in self._hosts(group)}
+            is_own = group.model == model.name
+            if (is_own and len(domains) == 1) or (
+                not is_own and group.model in self.short
+            ):
+                continue
+            for domain in domains:
+                found = by_domain.setdefault(domain, ([], []))
+                found[0 if is_own else 1].append(group)
+        choices = [
+            choice
+            for slow, others in by_domain.values()
+            for choice in self._choices(slow, others)
+            if self._can_give(choice, model, survey)
+        ]
+        return min(choices, key=len, default=[])
+
+    def _choices(
+        self, slow: list[Group], others: list[Group]
+    ) -> collections.abc.Iterator[list[Group]]:
+        """Yield sets of a domain's groups that could be closed together."""
+        others.sort(key=lambda each: self.in_flight.get(each.head, 0))
+        for count in range(min(MAX_DONORS, len(others)) + 1):
+            if count:
+                yield others[:count]
+            if slow:
+                yield [slow[0], *others[:count]]
+
     def _can_give(
         self,
-        group: Group,
+        chosen: list[Group],
         model: catalog_module.Model,
         survey: survey_module.Survey,
     ) -> bool:
-        """Return whether a model does well without one of its groups."""
-        if group.model == model.name or group.model in self.short:
-            return False
-        others = self._others(group)
-        places = sum(self.places(other) for other in others)
-        taken = sum(
-            self.in_flight.get(each.head, 0) for each in (*others, group)
-        )
-        return taken < SPARE_PART * places and formation.completes(
-            model, self._hosts(group), survey.idle, flexible=True
-        )
+        """Return whether other models do well without some groups."""
+        for name in {group.model for group in chosen} - {model.name}:
+            given = sum(
+                self.places(group) for group in chosen if group.model == name
+            )
+            left = survey.places[name] - given
+            if survey.taken[name] >= SPARE_PART * left:
+                return False
+        hosts = [host for group in chosen for host in self._hosts(group)]
+        return formation.completes(model, hosts, survey.idle, flexible=True)
 
     # Weights.
 
