Keep a cancellation of one session from ending the loop that dials anew

The spare's agent had announced itself no more since the leader's first terms, and logged nothing. grpclib cancels the task that reads a lost connection; where the session's timeout expires at the same moment, that is not taken back, and the announcer's loop ends as cancelled. A gateway's feed had the same form: it would follow no leader for good. Ruled out: ports (none in use), the pause between tries (0.15 s at most), control (its leader took all other agents).

Change: each session and each try runs in a task of its own. That this was the cause in that run is likely, not shown. Open: the entry's watch and the lead's heartbeats have the same form.

--- a/src/flamingocleat/connection/announce.py
+++ b/src/flamingocleat/connection/announce.py
@@ -46,7 +46,7 @@
         while True:
             address = self.leader.address()
             try:
-                await self._session(address)
+                await duplex.run_apart(self._session(address))
             except fault.FAULTS as error:
                 self.leader.note(error)
                 self._log_end(address, repr(error))
--- a/src/flamingocleat/connection/duplex.py
+++ b/src/flamingocleat/connection/duplex.py
@@ -7,6 +7,7 @@
 
 import grpclib
 import grpclib.const
+import grpclib.exceptions
 
 from flamingocleat import errors
 
@@ -26,6 +27,27 @@
         task.result()
 
 
+async def run_apart(work: Work) -> None:
+    """Run work in a task of its own, and raise what ended it.
+
+    grpclib cancels the task that waits on a stream whose connection is lost.
+    If a timeout of that task expires at the same moment, the cancellation is
+    not taken back, and would end the loop that dials anew.
+    """
+    task = asyncio.create_task(work)
+    try:
+        await asyncio.wait({task})
+    except asyncio.CancelledError:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        raise
+    if task.cancelled():
+        raise grpclib.exceptions.StreamTerminatedError(
+            "cancelled with its connection"
+        )
+    task.result()
+
+
 async def wait_event(event: asyncio.Event, timeout_s: float) -> None:
     """Wait until the event is set, at most for timeout_s, and clear it.
 
--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -388,7 +388,7 @@
         dialled = channel.dial(address)
         heard_s = self.heard_s
         try:
-            await self._follow(dialled)
+            await duplex.run_apart(self._follow(dialled))
         except grpclib.GRPCError as error:
             reason = f"{error.status.name} {error.message}"
             if error.status is grpclib.const.Status.FAILED_PRECONDITION:
