--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -405,16 +405,6 @@
     """The group that it leads, as the gateway was told."""
 
 
-class Offered(Message, frozen=True):
-    """What callers have asked of one model since the gateway's start."""
-
-    service: ids.ServiceId
-    model: str
-    requests: int
-    refused: int
-    prompt_tokens: int
-
-
 class GatewayReport(Message, frozen=True):
     """State of a gateway, for the leader."""
 
@@ -425,7 +415,6 @@
     requests: int
     """Callers' requests since its start."""
     heads: tuple[HeadReport, ...] = ()
-    offered: tuple[Offered, ...] = ()
 
 
 class ServedBackend(Message, frozen=True):
