--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -6,6 +6,7 @@
 import grpclib.server
 import pytest
 
+from examples import local
 from flamingocleat import messages
 from flamingocleat.connection import codec
 from flamingocleat.connection import heartbeat
@@ -137,7 +138,7 @@
                 await stream.send_message(pong(sequence=ping.sequence))
 
     async def run():
-        address = agent_support.free_address()
+        address = local.free_address()
         host, port = address.split(":")
         service = codec.Service({codec.HEARTBEAT: silent_at_first})
         server = grpclib.server.Server([service], codec=codec.Codec())
