Run all that ends with a connection in a task of its own

The mend of the agent's and the gateway's loops was at the wrong depth: the entry's watches, the lead's heartbeats and all unary calls (replication among voters, recorded answers) have the same form. duplex.run_apart now returns the work's result, and codec.Call.ask, both watches and the heartbeat use it.

The cause is shown with grpclib's own wrapper: it cancels the task and does not take that back; a timeout that expires while the task unwinds lets its own cancellation out. tests/streams.py has this once for six tests, each of which fails without run_apart; the two tests that stood for it before, one of which was a copy of the other, are among them with the same bound.

--- a/src/flamingocleat/connection/codec.py
+++ b/src/flamingocleat/connection/codec.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from flamingocleat import messages
+from flamingocleat.connection import duplex
 from flamingocleat.process import logs
 
 _log = logs.logger("codec")
@@ -96,6 +97,14 @@
         timeout_s: float,
     ) -> typing.Any:
         """Make a unary call and return its reply."""
+        return await duplex.run_apart(self._ask(channel, request, timeout_s))
+
+    async def _ask(
+        self,
+        channel: grpclib.client.Channel,
+        request: messages.Message,
+        timeout_s: float,
+    ) -> typing.Any:
         async with self.open(channel, timeout_s) as stream:
             await stream.send_message(request, end=True)
             return await stream.recv_message()
--- a/src/flamingocleat/connection/duplex.py
+++ b/src/flamingocleat/connection/duplex.py
@@ -11,6 +11,8 @@
 
 from flamingocleat import errors
 
+_T = typing.TypeVar("_T")
+
 Work = collections.abc.Coroutine[typing.Any, typing.Any, None]
 
 
@@ -27,12 +29,15 @@
         task.result()
 
 
-async def run_apart(work: Work) -> None:
-    """Run work in a task of its own, and raise what ended it.
+async def run_apart(
+    work: collections.abc.Coroutine[typing.Any, typing.Any, _T],
+) -> _T:
+    """Run work in a task of its own; return its result, or raise its error.
 
-    grpclib cancels the task that waits on a stream whose connection is lost.
-    If a timeout of that task expires at the same moment, the cancellation is
-    not taken back, and would end the loop that dials anew.
+    grpclib cancels the task that waits on a stream whose connection is lost,
+    and does not take that back. A timeout of the task that expires while it
+    unwinds takes its own cancellation for one from outside then, and the loop
+    that dials anew would end without a word.
     """
     task = asyncio.create_task(work)
     try:
@@ -45,7 +50,7 @@
         raise grpclib.exceptions.StreamTerminatedError(
             "cancelled with its connection"
         )
-    task.result()
+    return task.result()
 
 
 async def wait_event(event: asyncio.Event, timeout_s: float) -> None:
--- a/src/flamingocleat/connection/heartbeat.py
+++ b/src/flamingocleat/connection/heartbeat.py
@@ -12,6 +12,7 @@
 from flamingocleat import messages
 from flamingocleat.connection import channel
 from flamingocleat.connection import codec
+from flamingocleat.connection import duplex
 from flamingocleat.connection import fault
 from flamingocleat.process import logs
 
@@ -102,7 +103,7 @@
         reason = ""
         while True:
             try:
-                await self._ping(link)
+                await duplex.run_apart(self._ping(link))
             except fault.FAULTS as error:
                 if _refused(error):
                     link.fresh_until = float("-inf")
--- a/src/flamingocleat/connection/watch.py
+++ b/src/flamingocleat/connection/watch.py
@@ -131,7 +131,7 @@
             address = hint or next(addresses)
             confirmed_s = self.confirmed_s
             try:
-                hint = await self._follow(address)
+                hint = await duplex.run_apart(self._follow(address))
             except Exception as error:
                 # The entry goes on serving with the state that it has.
                 logs.error(
@@ -363,7 +363,7 @@
         while True:
             reported_s = watched.report_s
             try:
-                await self._receive(watched)
+                await duplex.run_apart(self._receive(watched))
                 reason = "stream ended"
             except FAILURES as error:
                 reason = str(error) or type(error).__name__
--- a/tests/direct/test_feed.py
+++ b/tests/direct/test_feed.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections
-import time
 
 import pytest
 
 from flamingocleat import messages
 from flamingocleat.connection import feed
+from tests import streams
 
 
 class Stream:
@@ -177,35 +177,14 @@
         assert feed.silence_s(gateways) > 4 * feed.interval_s(gateways)
 
 
-def test_cancellation_by_the_connection_ends_one_try_only():
-    """A gateway that follows nobody for good keeps an old view for good.
-
-    grpclib cancels the task that reads a lost connection, and a timeout that
-    expires at the same moment does not take that back.
-    """
+def test_lost_connection_ends_one_try_only():
+    """A gateway that follows nobody for good keeps an old view for good."""
 
     async def scenario() -> int:
         follower = feed.Follower(
             lambda: ["127.0.0.1:1"], lambda _sequence: None, lambda _view: None
         )
-        tries: list[asyncio.Task] = []
-
-        async def follow(_dialled) -> None:
-            task = asyncio.current_task()
-            tries.append(task)
-            async with asyncio.timeout(0.01):
-                asyncio.get_running_loop().call_soon(task.cancel)
-                if len(tries) == 1:
-                    time.sleep(0.02)
-                await asyncio.Event().wait()
-
-        follower._follow = follow
-        running = asyncio.create_task(follower.run())
-        async with asyncio.timeout(5):
-            while len(tries) < 3 and not running.done():
-                await asyncio.sleep(0.01)
-        running.cancel()
-        await asyncio.gather(running, return_exceptions=True)
-        return len(tries)
+        follower._follow = lost = streams.LostConnections()
+        return await lost.outlived(follower.run())
 
     assert asyncio.run(scenario()) >= 3
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -1,7 +1,6 @@
 """An agent must act on each order as control gave it."""
 
 import asyncio
-import time
 import types
 
 from flamingocleat import messages
@@ -43,38 +42,17 @@
     )
 
 
-def test_cancellation_by_the_connection_ends_one_session_only():
+def test_lost_connection_ends_one_session_only():
     """An agent whose sessions end for good is a VM that stays idle for good.
 
     Seen in CI on a machine with 27 runnable processes: one agent of seven
-    announced itself no more while its control's connections broke. grpclib
-    cancels the task that reads a lost connection, and a timeout that expires
-    at the same moment does not take that back.
+    announced itself no more while its control's connections broke.
     """
 
     async def scenario() -> int:
         announcer = _announcer()
-        sessions: list[asyncio.Task] = []
-
-        async def session(_address: str) -> None:
-            task = asyncio.current_task()
-            sessions.append(task)
-            async with asyncio.timeout(0.01):
-                # As grpclib does it; the timeout expires before this wakes.
-                asyncio.get_running_loop().call_soon(task.cancel)
-                if len(sessions) == 1:
-                    time.sleep(0.02)
-                await asyncio.Event().wait()
-
-        announcer._session = session
-        running = asyncio.create_task(announcer.run())
-        async with asyncio.timeout(5):
-            while len(sessions) < 3 and not running.done():
-                await asyncio.sleep(0.01)
-        running.cancel()
-        await asyncio.gather(running, return_exceptions=True)
-        assert sessions[-1].done()
-        return len(sessions)
+        announcer._session = lost = streams.LostConnections()
+        return await lost.outlived(announcer.run())
 
     assert asyncio.run(scenario()) >= 3
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,6 +1,7 @@
 """Channels whose connection closes at an awkward moment."""
 
 import asyncio
+import types
 
 import grpclib.server
 import pytest
@@ -9,7 +10,9 @@
 from flamingocleat.connection import channel
 from flamingocleat.connection import codec
 from flamingocleat.connection import fault
+from flamingocleat.connection import watch
 from tests import entry_fakes as fakes
+from tests import streams
 
 
 async def _closed_between(dialled, step):
@@ -85,3 +88,35 @@
 
 async def _lose(control):
     control.channel.close()
+
+
+def _control():
+    return watch.Control(
+        types.SimpleNamespace(control=("127.0.0.1:1",), entry="entry-1"),
+        lambda: 0,
+    )
+
+
+def test_lost_connection_ends_one_try_to_follow_control_only():
+    """An entry that follows nobody for good keeps an old configuration."""
+
+    async def scenario():
+        control = _control()
+        control._follow = lost = streams.LostConnections()
+        return await lost.outlived(control.run())
+
+    assert asyncio.run(scenario()) >= 3
+
+
+def test_lost_connection_ends_one_watch_of_a_backend_only():
+    """A backend server that is watched no more gets no calls for good."""
+
+    async def scenario():
+        backends = watch.Backends(_control().settings, _control())
+        view = messages.BackendView(
+            "g/0", "s", "vm-1", "run-1", 5, "127.0.0.1:1", "127.0.0.1:2", "a"
+        )
+        backends._receive = lost = streams.LostConnections()
+        return await lost.outlived(backends._watch(watch.Watched(view)))
+
+    assert asyncio.run(scenario()) >= 3
--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -11,6 +11,7 @@
 from flamingocleat.connection import codec
 from flamingocleat.connection import heartbeat
 from tests import agent_support
+from tests import streams
 
 READY = messages.MemberState.READY
 
@@ -156,3 +157,13 @@
             await server.wait_closed()
 
     asyncio.run(run())
+
+
+def test_lost_connection_ends_one_ping_only(lead):
+    """A lead that pings a member no more loses its group for good."""
+
+    async def scenario() -> int:
+        lead._ping = lost = streams.LostConnections()
+        return await lost.outlived(lead.run())
+
+    assert asyncio.run(scenario()) >= 3
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import types
 
 import grpclib
 import grpclib.server
@@ -18,6 +19,7 @@
 from flamingocleat.process import storage
 from flamingocleat.version import machine
 from tests import cluster as cluster_module
+from tests import streams
 
 
 class Voter:
@@ -193,3 +195,35 @@
             writer.write(data)
             await writer.drain()
     writer.close()
+
+
+def test_lost_connection_is_a_failed_call():
+    """A leader whose task for a follower ends replicates to it no more."""
+
+    async def scenario() -> None:
+        lost = streams.LostConnections(bounded=False)
+        address = "127.0.0.1:1"
+        caller = peer.Caller()
+        caller.channels[address, False] = types.SimpleNamespace(
+            request=lambda *_arguments, **_options: _LostStream(lost),
+            close=lambda: None,
+        )
+        with pytest.raises(peer.FAILURES):
+            await caller.call(codec.VOTE, address, None, lost.TIMEOUT_S)
+
+    asyncio.run(scenario())
+
+
+class _LostStream:
+    def __init__(self, lost: streams.LostConnections) -> None:
+        self.lost = lost
+
+    async def __aenter__(self) -> "_LostStream":
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        return
+
+    async def send_message(self, _message: object, *, end: bool) -> None:
+        assert end
+        await self.lost()
