Say once what was said twice

- A group as its members speak of it is one value (adoption.Said) in place of five arguments of three methods; its members are worked out in one place.
- The coordinator's review is a plain function again, and its duration a local value, not state of the coordinator; what is listed for a group is made once.
- Keeper.pace serves both what a head reads and the model of bench.losses.
- The forwarder asks the attempt whether it may move, in place of the same condition written out.
- bench.losses: unused methods and fields out, requests in hand by group and not by group and model, refusals by model only, one keeper for each leadership.
- tests/direct: one cost model of an engine, one demand in test_candidates.
The review that is made to fail in test_voters is a plain function like the real.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -30,6 +30,8 @@
 RETURN_PART = 0.6
 RETURN_S = 1.5
 """Part of the refused callers that return once, and after which time."""
+REPLACED_S = 9.0
+"""Time until an empty VM takes the place of one that is lost for good."""
 DARK_S = 7.2
 """How long the VMs of a dark domain are away; they keep what was staged."""
 COLUMNS = (
@@ -97,7 +99,6 @@
 
     asked: float = 0.0
     placed: float = 0.0
-    refused: float = 0.0
     missing_group_s: float = 0.0
     """Seconds by which groups were fewer than when the day began."""
     idle_vm_s: float = 0.0
@@ -105,6 +106,7 @@
     by_model: collections.Counter[str] = msgspec.field(
         default_factory=collections.Counter
     )
+    """Refusals, of each try, by model."""
 
     @property
     def served(self) -> float:
@@ -145,21 +147,19 @@
         self.loading: dict[str, list] = {}
         """Model and seconds of load that are left, by VM."""
         self.dead_s: dict[str, float] = {}
-        self.arrivals: list[tuple[float, vms.Vm]] = []
         self.reborn: list[tuple[float, vms.Vm]] = []
-        self.work: dict[str, collections.Counter[str]] = {}
+        self.work: dict[str, tuple[str, float]] = {}
+        """Model and requests in hand, by group."""
         self.returns: list[tuple[float, str, float]] = []
         self.result = Result()
         self.began_s = 0.0
         self.planned: collections.Counter[str] = collections.Counter()
         """Groups of each model when the day begins."""
 
-    def lead(self, term: int) -> None:
-        super().lead(term)
-        self.keeper = self.keeper_class(
-            groups.KeeperSettings(vms.STALL_S, 1), "llm", self.fleet, term
-        )
-        self.keeper.engine = self.shape.engine
+    def make_keeper(self, term: int) -> groups.Keeper:
+        keeper = self.keeper_class(vms.SETTINGS, "llm", self.fleet, term)
+        keeper.engine = self.shape.engine
+        return keeper
 
     def play(self) -> Result:
         """Play the day."""
@@ -197,9 +197,6 @@
             return
         super().obey(order)
 
-    def find_model(self, name: str) -> catalog.Model:
-        return self.shape.engine.find_model(name)
-
     def _load(self) -> None:
         if not self.loading:
             return
@@ -235,7 +232,7 @@
             fresh = vms.Vm(number, domain)
             fresh.alive = False
             self.vms[fresh.backend] = fresh
-            self.reborn.append((self.now_s + 9.0, fresh))
+            self.reborn.append((self.now_s + REPLACED_S, fresh))
 
     def _end(self, vm: vms.Vm) -> None:
         vm.alive = False
@@ -265,13 +262,6 @@
 
     # Requests.
 
-    def pace(self, group: group_module.Group) -> float:
-        """Return the factor on the engine's times for a group."""
-        factor = self.shape.engine.find_model(group.model).pace
-        if vms.spans(self, group) > 1:
-            factor *= self.shape.engine.cross_domain_factor
-        return factor
-
     def rate_per_s(self, group: group_module.Group, in_flight: float) -> float:
         """Return how many requests a group ends in a second."""
         engine = self.shape.engine
@@ -282,21 +272,19 @@
             self.shape.prompt_tokens[group.model] / engine.read_per_s
             + self.shape.answer_tokens[group.model] * step_ms / 1000
         )
-        return 1 / (each_s * self.pace(group))
+        return 1 / (each_s * self.keeper.pace(group))
 
     def _serve(self) -> None:
         serving = {group.name: group for group in self._whole()}
         moved: collections.Counter[str] = collections.Counter()
-        for name, work in list(self.work.items()):
+        for name, (model, in_hand) in list(self.work.items()):
             if name not in serving:
-                moved.update(work)
+                moved[model] += in_hand
                 del self.work[name]
         for group in serving.values():
-            work = self.work.setdefault(group.name, collections.Counter())
-            now = work[group.model]
-            work[group.model] = max(
-                0.0, now - self.rate_per_s(group, now) * vms.TICK_S
-            )
+            in_hand = self.in_hand(group)
+            ended = self.rate_per_s(group, in_hand) * vms.TICK_S
+            self.work[group.name] = group.model, max(0.0, in_hand - ended)
         offered = collections.Counter(moved)
         for name, per_s in self.shape.requests_per_s.items():
             offered[name] += per_s * vms.TICK_S
@@ -309,10 +297,13 @@
             self.result.placed -= moved[name]
             self._place(serving, name, amount)
         self.keeper.in_flight = {
-            group.head: round(self.work[group.name][group.model])
-            for group in serving.values()
+            group.head: round(self.in_hand(group)) for group in serving.values()
         }
 
+    def in_hand(self, group: group_module.Group) -> float:
+        """Return the requests that a group has in hand."""
+        return self.work.get(group.name, ("", 0.0))[1]
+
     def _whole(self) -> list[group_module.Group]:
         """Return groups whose members are all there."""
         return [
@@ -341,19 +332,17 @@
         while amount > 1e-9 and open_groups:
             best = min(
                 open_groups,
-                key=lambda each: (
-                    self.work[each.name][name] / self.keeper.places(each)
-                ),
+                key=lambda each: self.in_hand(each) / self.keeper.places(each),
             )
-            room = self.keeper.places(best) - self.work[best.name][name]
+            in_hand = self.in_hand(best)
+            room = self.keeper.places(best) - in_hand
             if room <= 1e-9:
                 break
             part = min(amount, room, 0.5)
-            self.work[best.name][name] += part
+            self.work[best.name] = name, in_hand + part
             self.result.placed += part
             amount -= part
         if amount > 1e-9:
-            self.result.refused += amount
             self.result.by_model[name] += amount
             if not last:
                 self.returns.append(
@@ -362,8 +351,7 @@
 
     def _count(self) -> None:
         serving = collections.Counter(group.model for group in self._whole())
-        planned = self.planned
-        for name, count in planned.items():
+        for name, count in self.planned.items():
             self.result.missing_group_s += (
                 max(0, count - serving[name]) * vms.TICK_S
             )
@@ -394,7 +382,7 @@
         """Close no group for another."""
 
 
-class Greedy(groups.Keeper):
+class Greedy(Nothing):
     """The first idle VMs of a domain that hold a model's weights serve it."""
 
     def _next_group(
@@ -415,9 +403,6 @@
                     )
         return None
 
-    def _convert(self, survey: survey_module.Survey, now_s: float) -> None:
-        """Close no group for another."""
-
 
 POLICIES: dict[str, type[groups.Keeper]] = {
     "nothing": Nothing,
--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -303,9 +303,7 @@
     before: _Part | None, after: _Part | None
 ) -> dict[str, typing.Any]:
     """Return the fields of a view that lead from one list to the other."""
-    if after is None:
-        return {}
-    if before is after:
+    if after is None or after is before:
         return {}
     if before is None:
         return {"backends": tuple(after.values())}
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -44,10 +44,10 @@
 REVIEW_REST = 3.0
 """Times its own duration that a review is followed by a pause, so that it
 takes a quarter of the leader's time however many VMs there are."""
-PROBE_S = 0.4
 MAX_REST_S = 1.0
 """Longest pause after a review; a node that was stopped meanwhile would
 pause for as long again."""
+PROBE_S = 0.4
 SUSPECT_PAUSE_S = 1.0
 """A suspicion is new if there was none for this long."""
 PROBE_TIMEOUT_S = 0.25
@@ -107,6 +107,10 @@
 )
 
 
+Orders = list[tuple[groups_module.Keeper, orders_module.Order]]
+"""Orders, each with the keeper that wants it."""
+
+
 class Reply(Exception):  # noqa: N818
     """Ends the handling of a call with an answer."""
 
@@ -162,8 +166,6 @@
         self.catalog: catalog_module.Catalog | None = None
         self.ready_s = float("inf")
         self.due = asyncio.Event()
-        self.review_s = 0.0
-        """What the last review took, without waiting for other voters."""
         self.timer = timer_module.Timer()
         self.server = channel.Server(
             [
@@ -343,44 +345,49 @@
             await self.due.wait()
             self.due.clear()
             began_s = time.monotonic()
-            if not self.settled:
-                was_settled = False
-                for keeper in self.keepers.values():
-                    keeper.adopt(began_s)
-                self._list()
-                await self._rest(time.monotonic() - began_s)
-                continue
-            if not was_settled:
-                was_settled = True
+            settled = self.settled
+            if settled and not was_settled:
                 self.publisher.notify()
                 logs.info(
                     _log, "fleet_settled", backends=len(self.fleet.backends)
                 )
+            was_settled = settled
             try:
-                await self._review()
+                orders = self._review() if settled else self._look()
+                spent_s = time.monotonic() - began_s
+                await self._give(orders)
             except Exception as error:
                 # Groups would be repaired no more until another voter leads.
                 logs.error(_log, "review_failed", reason=repr(error))
-            await self._rest(self.review_s)
+                spent_s = time.monotonic() - began_s
+            await asyncio.sleep(min(MAX_REST_S, spent_s * REVIEW_REST))
 
-    async def _rest(self, spent_s: float) -> None:
-        """Leave time for the other work of the leader."""
-        await asyncio.sleep(min(MAX_REST_S, spent_s * REVIEW_REST))
+    def _look(self) -> Orders:
+        """Take over what is heard, before all can have been."""
+        now_s = time.monotonic()
+        for keeper in self.keepers.values():
+            keeper.adopt(now_s)
+        self._list()
+        return []
 
-    async def _review(self) -> None:
+    def _review(self) -> Orders:
+        """Return the orders that are due."""
         now_s = time.monotonic()
         self.fleet.expire(now_s)
         for backend in list(self.fleet.backends.values()):
             if now_s - backend.heard_s > FORGET_S:
                 self.fleet.forget(backend.said.backend, now_s)
         in_flight = self.publisher.in_flight()
-        orders = []
+        orders: Orders = []
         for keeper in self.keepers.values():
             keeper.in_flight = in_flight
             orders += [(keeper, order) for order in keeper.step(now_s)]
         self._list()
-        self.review_s = time.monotonic() - now_s
-        _REVIEW.observe(self.review_s)
+        _REVIEW.observe(time.monotonic() - now_s)
+        return orders
+
+    async def _give(self, orders: Orders) -> None:
+        """Give orders, if this voter still leads."""
         if not orders:
             return
         try:
@@ -483,11 +490,12 @@
             for group in keeper.serving():
                 head = self.fleet.backends.get(group.head)
                 if head is not None:
-                    view = _served(head.said, group)
                     served.append(
                         msgspec.structs.replace(
-                            view,
-                            slots=min(view.slots, keeper.places(group)),
+                            _served(head.said),
+                            slots=min(head.said.slots, keeper.places(group)),
+                            model=group.model,
+                            group=group.name,
                             read_per_s=keeper.read_per_s(group),
                         )
                     )
@@ -648,17 +656,13 @@
         _TAKEN.labels(service, name).set(taken[name])
 
 
-def _served(
-    said: fleet_module.Announcement, group: group_module.Group | None = None
-) -> messages.ServedBackend:
+def _served(said: fleet_module.Announcement) -> messages.ServedBackend:
     return messages.ServedBackend(
         backend=said.backend,
         address=said.address,
         service=said.service,
         data_centre=said.data_centre,
         slots=said.slots,
-        model=group.model if group else "",
-        group=group.name if group else "",
     )
 
 
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -388,7 +388,7 @@
     ) -> None:
         """Pass a whole answer on."""
         limit_s = call.remaining_s()
-        if call.is_repeatable and call.sent < call.route.max_attempts:
+        if attempt.may_move:
             limit_s = min(limit_s, call.route.objective_s * FIRST_TRY_PART)
         try:
             async with asyncio.timeout(limit_s):
--- a/src/flamingocleat/version/adoption.py
+++ b/src/flamingocleat/version/adoption.py
@@ -4,6 +4,8 @@
 take over is closed, and its members are bound until its head cannot be open.
 """
 
+import msgspec
+
 from flamingocleat import ids
 from flamingocleat.process import logs
 from flamingocleat.version import catalog as catalog_module
@@ -33,6 +35,30 @@
 """Phase of a group that is found with its head in a state."""
 
 
+class Said(msgspec.Struct, frozen=True):
+    """A group as those of its members that are heard speak of it."""
+
+    name: str
+    epoch: ids.Epoch
+    ranks: Ranks
+
+    def model(
+        self, engine: catalog_module.Engine
+    ) -> catalog_module.Model | None:
+        """Return the model that it serves, if the configuration has it."""
+        first = self.ranks[min(self.ranks)]
+        return engine.find_model(first.said.model)
+
+    def members(self, model: catalog_module.Model) -> tuple[ids.BackendId, ...]:
+        """Return all members, with a stand-in for those that are unheard."""
+        return tuple(
+            self.ranks[rank].said.backend
+            if rank in self.ranks
+            else group_module.UNHEARD
+            for rank in range(model.size)
+        )
+
+
 class Adoption:
     """What one leadership knows of groups that others formed or it ended."""
 
@@ -51,32 +77,30 @@
 
     def find(
         self,
-        name: str,
-        epoch: ids.Epoch,
-        ranks: Ranks,
+        said: Said,
         engine: catalog_module.Engine,
         now_s: float,
     ) -> group_module.Group | None:
         """Return a group whose head is heard, if it is to be taken over."""
-        head = ranks[0]
+        head = said.ranks[0]
         assert head.said.group is not None
         phase = _FOUND.get(head.said.group.state)
-        model = engine.find_model(head.said.model)
+        model = said.model(engine)
         if phase is None or model is None:
             return None
-        if head.heard_s <= self.ended_s.get(name, float("-inf")):
+        if head.heard_s <= self.ended_s.get(said.name, float("-inf")):
             # Ended by this leader, and nothing was heard of it since.
             return None
-        own = self.is_own(epoch) or name in self.ended_s
-        ready = sum(_is_ready(member) for member in ranks.values())
+        own = self.is_own(said.epoch) or said.name in self.ended_s
+        ready = sum(_is_ready(member) for member in said.ranks.values())
         if phase is group_module.Phase.OPENING and (own or ready < model.size):
             # It does not serve, and its members are free.
             return None
         found = group_module.Group(
-            name=name,
-            epoch=epoch,
+            name=said.name,
+            epoch=said.epoch,
             model=model.name,
-            members=_members(ranks, model.size),
+            members=said.members(model),
             head_address=head.said.address,
             phase=group_module.Phase.CLOSING if own else phase,
             since_s=now_s,
@@ -85,24 +109,22 @@
         logs.info(
             _log,
             "group_adopted",
-            group=name,
-            epoch=epoch,
+            group=found.name,
+            epoch=found.epoch,
             phase=found.phase.value,
             members=",".join(found.members),
         )
         return found
 
-    def is_orphaned(self, name: str, epoch: ids.Epoch, now_s: float) -> bool:
+    def is_orphaned(self, said: Said, now_s: float) -> bool:
         """Return whether a group has been without its head for long."""
-        if name in self.ended_s or self.is_own(epoch):
+        if said.name in self.ended_s or self.is_own(said.epoch):
             return False
-        return now_s - self.orphans_s.setdefault(name, now_s) >= ADOPT_S
+        return now_s - self.orphans_s.setdefault(said.name, now_s) >= ADOPT_S
 
     def dissolve(
         self,
-        name: str,
-        epoch: ids.Epoch,
-        ranks: Ranks,
+        said: Said,
         engine: catalog_module.Engine,
         now_s: float,
     ) -> group_module.Group | None:
@@ -110,15 +132,15 @@
 
         The head may still be open, so that its members are not free yet.
         """
-        model = engine.find_model(next(iter(ranks.values())).said.model)
+        model = said.model(engine)
         if model is None:
             return None
-        head = self.heads.get(name, group_module.UNHEARD)
+        head = self.heads.get(said.name, group_module.UNHEARD)
         found = group_module.Group(
-            name=name,
-            epoch=epoch,
+            name=said.name,
+            epoch=said.epoch,
             model=model.name,
-            members=(head, *_members(ranks, model.size)[1:]),
+            members=(head, *said.members(model)[1:]),
             head_address="",
             phase=group_module.Phase.CLOSING,
             since_s=now_s,
@@ -127,10 +149,10 @@
         logs.info(
             _log,
             "orphans_found",
-            group=name,
+            group=found.name,
             head=head,
             members=",".join(found.members),
-            waited_s=round(now_s - self.orphans_s[name], 3),
+            waited_s=round(now_s - self.orphans_s[said.name], 3),
         )
         return found
 
@@ -171,10 +193,3 @@
     return report is not None and (
         report.state is fleet_module.GroupState.READY
     )
-
-
-def _members(ranks: Ranks, size: int) -> tuple[ids.BackendId, ...]:
-    return tuple(
-        ranks[rank].said.backend if rank in ranks else group_module.UNHEARD
-        for rank in range(size)
-    )
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -47,6 +47,8 @@
 SPARE_PART = 0.6
 """A model gives a group up if the others then have at most this part of their
 places taken."""
+MIN_PACE = 0.01
+"""The least pace that is reckoned with; a configuration may name zero."""
 MAX_DONORS = 3
 """Groups that give way together, at most; each ends its requests first."""
 FORMING_S = 6.0
@@ -114,14 +116,19 @@
         assert self.engine is not None
         return formation.places(self.engine, spans=self._spans_domains(group))
 
-    def read_per_s(self, group: Group) -> float:
-        """Return how many prompt tokens a group reads in a second."""
+    def pace(self, group: Group) -> float:
+        """Return the factor on the engine's times for a group."""
         assert self.engine is not None
         model = self._model(group.model)
-        factor = max(model.pace, 0.01) if model else 1.0
+        factor = max(model.pace, MIN_PACE) if model else 1.0
         if self._spans_domains(group):
             factor *= self.engine.cross_domain_factor
-        return self.engine.read_per_s / factor
+        return factor
+
+    def read_per_s(self, group: Group) -> float:
+        """Return how many prompt tokens a group reads in a second."""
+        assert self.engine is not None
+        return self.engine.read_per_s / self.pace(group)
 
     def doubtful(self, now_s: float) -> list[fleet_module.Backend]:
         """Return members whose reachability the leader should check."""
@@ -198,27 +205,22 @@
                 if known.epoch == epoch and is_partial:
                     adoption_module.complete(known, ranks)
                 continue
-            adopted = self._adopt(name, epoch, ranks, now_s)
+            said = adoption_module.Said(name, epoch, ranks)
+            adopted = self._adopt(said, now_s)
             if adopted is not None:
                 self.groups[name] = adopted
         self.adoption.trim({name for name, _ in found}, now_s)
 
-    def _adopt(
-        self,
-        name: str,
-        epoch: ids.Epoch,
-        ranks: adoption_module.Ranks,
-        now_s: float,
-    ) -> Group | None:
+    def _adopt(self, said: adoption_module.Said, now_s: float) -> Group | None:
         assert self.engine is not None
-        if 0 in ranks:
-            return self.adoption.find(name, epoch, ranks, self.engine, now_s)
-        if not self.adoption.is_orphaned(name, epoch, now_s):
+        if 0 in said.ranks:
+            return self.adoption.find(said, self.engine, now_s)
+        if not self.adoption.is_orphaned(said, now_s):
             return None
-        head = self.adoption.heads.get(name, group_module.UNHEARD)
+        head = self.adoption.heads.get(said.name, group_module.UNHEARD)
         if self.note(head).serves(now_s):
             return None
-        return self.adoption.dissolve(name, epoch, ranks, self.engine, now_s)
+        return self.adoption.dissolve(said, self.engine, now_s)
 
     # One step for each phase.
 
--- a/tests/direct/support.py
+++ b/tests/direct/support.py
@@ -4,6 +4,8 @@
 import collections.abc
 import contextlib
 
+import msgspec
+
 from flamingocleat import messages
 from flamingocleat.connection import http
 from flamingocleat.request import admission
@@ -11,28 +13,15 @@
 from flamingocleat.request import forward
 from flamingocleat.version import candidates
 from flamingocleat.version import catalog
+from tests.direct import vms
 
 DIALECT = forward.Dialect()
 SEAL = (b"flamingocleat-proof", b"seal")
 PATIENCE_S = 10.0
 
 MODEL = catalog.Model("large", 2, 1.0, 1.0, 16.0, 1.6)
-ENGINE = catalog.Engine(
-    slots=4,
-    kv_tokens=700_000,
-    stride=3,
-    step_ms=6.0,
-    sequence_ms=0.5,
-    context_ms=0.01,
-    read_per_s=46_000,
-    chunk_tokens=2048,
-    loads_per_s=3,
-    loads_at_once=6,
-    form_s=0.3,
-    cross_domain_factor=2.5,
-    mean_prompt_tokens=1000,
-    mean_answer_tokens=85,
-    models=(MODEL,),
+ENGINE = msgspec.structs.replace(
+    vms.ENGINE, slots=4, step_ms=6.0, sequence_ms=0.5, models=(MODEL,)
 )
 
 
--- a/tests/direct/test_candidates.py
+++ b/tests/direct/test_candidates.py
@@ -15,6 +15,17 @@
 )
 
 
+def _demand(now_s: float, **changes) -> admission.Demand:
+    return admission.Demand(
+        service="llm",
+        model="large",
+        objective_s=0.4,
+        deadline_s=now_s + 8,
+        arrived_s=now_s,
+        **changes,
+    )
+
+
 class Work:
     """A request in hand at a head."""
 
@@ -61,15 +72,7 @@
     def is_tried(self, **changes) -> bool:
         """Return whether a request would be placed at the head now."""
         placing = admission.Admission("a", self.all, lambda: self.now_s)
-        demand = admission.Demand(
-            service="llm",
-            model="large",
-            objective_s=0.4,
-            deadline_s=self.now_s + 8,
-            arrived_s=self.now_s,
-            **changes,
-        )
-        return placing.choose(demand) is not None
+        return placing.choose(_demand(self.now_s, **changes)) is not None
 
 
 def test_silence_of_streams_is_noticed():
@@ -163,14 +166,7 @@
             ]
         )
         placing = admission.Admission("a", known, lambda: now_s)
-        demand = admission.Demand(
-            service="llm",
-            model="large",
-            objective_s=0.4,
-            deadline_s=now_s + 8,
-            arrived_s=now_s,
-        )
-        found = await placing.place(demand)
+        found = await placing.place(_demand(now_s))
         assert found.view.backend == "h-0"
 
     asyncio.run(scenario())
--- a/tests/direct/test_voters.py
+++ b/tests/direct/test_voters.py
@@ -302,7 +302,7 @@
         )
         reviews = []
 
-        async def fail():
+        def fail():
             reviews.append(len(reviews))
             raise ZeroDivisionError("an odd figure")
 
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -31,6 +31,7 @@
 BEAT_S = 1.2
 STALL_S = 4.0
 STATE = fleet_module.GroupState
+SETTINGS = groups.KeeperSettings(STALL_S, 1)
 
 
 class Vm:
@@ -87,10 +88,13 @@
     def lead(self, term: int) -> None:
         """Begin a leadership that knows nothing."""
         self.fleet = fleet_module.Fleet()
-        self.keeper = groups.Keeper(
-            groups.KeeperSettings(STALL_S, 1), "llm", self.fleet, term
-        )
-        self.keeper.engine = ENGINE
+        self.keeper = self.make_keeper(term)
+
+    def make_keeper(self, term: int) -> groups.Keeper:
+        """Return a keeper that knows nothing yet."""
+        keeper = groups.Keeper(SETTINGS, "llm", self.fleet, term)
+        keeper.engine = ENGINE
+        return keeper
 
     def run(self, duration_s: float) -> None:
         end_s = self.now_s + duration_s
