Log capacity beside demand, by model, each second

The logs could not tell the hypotheses of the incident apart: slots and VMs by use were gauges only, refusals were not known by model, and a line on a new group did not say whose engine still had to load its weights.

Gateways report requests and refusals by model (counts since their start, so that a lost report loses nothing; a field that older processes ignore). The leader logs one line for each model and second, and the models that the engines of a new group hold. No decision reads the new fields.

--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -414,6 +414,17 @@
     """Group that it leads, according to the gateway's view."""
 
 
+class ModelDemand(Message, frozen=True):
+    """Callers' requests for one model, or for a service without models."""
+
+    service: ids.ServiceId
+    model: str
+    requested: int
+    """Requests since the gateway started, without those sent again."""
+    refused: int
+    """Those of them that found no slot in time."""
+
+
 class GatewayReport(Message, frozen=True):
     """State of a gateway, reported to the leader."""
 
@@ -424,6 +435,7 @@
     requests: int
     """Callers' requests since the gateway started."""
     heads: tuple[HeadReport, ...] = ()
+    demand: tuple[ModelDemand, ...] = ()
 
 
 class ServedBackend(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import time
 
@@ -31,6 +32,7 @@
 from flamingocleat.process import voters as voters_module
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import declared
+from flamingocleat.version import demand as demand_module
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
@@ -108,7 +110,18 @@
     "Time that one review of groups takes",
     buckets=(0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1),
 )
-
+_LOGGED_PHASES = (
+    group_module.Phase.FORMING,
+    group_module.Phase.OPENING,
+    group_module.Phase.OPEN,
+    group_module.Phase.CLOSING,
+)
+_LOGGED_USES = (
+    service_survey.VmUse.IDLE,
+    service_survey.VmUse.EMPTY,
+    service_survey.VmUse.BOUND,
+    service_survey.VmUse.LOST,
+)
 
 Orders = list[tuple[groups_module.GroupManager, orders_module.Order]]
 """Orders, each with the manager of the groups that issued it."""
@@ -163,6 +176,7 @@
         )
         self.fleet = fleet_module.Fleet()
         self.fleet.subscribe(self._on_fleet_change)
+        self.demand = demand_module.DemandTotals()
         self.managers: dict[ids.ServiceId, groups_module.GroupManager] = {}
         self.served_backends: tuple[messages.ServedBackend, ...] = ()
         """Backend servers that gateways may use, as of the last review."""
@@ -297,6 +311,7 @@
 
     def _on_gateway_report(self, report: messages.GatewayReport) -> None:
         now_s = time.monotonic()
+        self.demand.record(report)
         for manager in self.managers.values():
             manager.has_traffic = manager.has_traffic or report.requests > 0
         for head in report.heads:
@@ -640,6 +655,8 @@
         )
         for service, manager in self.managers.items():
             _update_manager_metrics(service, manager)
+            if self.leadership.ready.is_set() and self.settled:
+                _log_capacity(service, manager, self.demand)
 
 
 _HANDLERS: dict[type, collections.abc.Callable] = {
@@ -668,6 +685,36 @@
         _PLACES_TAKEN.labels(service, name).set(in_flight[name])
 
 
+def _log_capacity(
+    service: ids.ServiceId,
+    manager: groups_module.GroupManager,
+    demand: demand_module.DemandTotals,
+) -> None:
+    """Log the capacity of each model beside what callers ask of it."""
+    if manager.engine is None or not manager.has_traffic:
+        return
+    uses = {use.value: manager.vms_by_use[use] for use in _LOGGED_USES}
+    for model in manager.engine.models:
+        groups = [g for g in manager.groups.values() if g.model == model.name]
+        phases = collections.Counter(group.phase for group in groups)
+        serving = [g for g in groups if g.phase is group_module.Phase.OPEN]
+        requested, refused = demand.take(service, model.name)
+        logs.info(
+            _log,
+            "capacity",
+            service=service,
+            model=model.name,
+            **{phase.value: phases[phase] for phase in _LOGGED_PHASES},
+            slots=sum(map(manager.capacity, serving)),
+            in_flight=sum(manager.in_flight.get(g.head, 0) for g in serving),
+            requested=requested,
+            refused=refused,
+            short=model.name in manager.short_models,
+            held=manager.holders[model.name],
+            **uses,
+        )
+
+
 def _to_served_backend(
     announcement: fleet_module.Announcement,
 ) -> messages.ServedBackend:
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -193,6 +193,12 @@
                 for candidate in self.candidates.by_backend.values()
                 if candidate.view.model
             ),
+            demand=tuple(
+                messages.ModelDemand(
+                    service, model, count.requested, count.refused
+                )
+                for (service, model), count in self.admission.demand.items()
+            ),
         )
 
     # Silent heads.
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import math
 import random
@@ -150,6 +151,13 @@
         )
 
 
+class DemandCount(msgspec.Struct):
+    """Requests for one service and model since the gateway started."""
+
+    requested: int = 0
+    refused: int = 0
+
+
 class Admission:
     """Assigns the requests of one gateway to backend servers."""
 
@@ -168,6 +176,9 @@
         self.duration_s: dict[ServiceModel, float] = {}
         """Mean time that a request occupies its slot, by service and model."""
         self.late_waits: dict[ServiceModel, LateWaitStats] = {}
+        self.demand: collections.defaultdict[ServiceModel, DemandCount] = (
+            collections.defaultdict(DemandCount)
+        )
         candidates.subscribe(self.dispatch)
 
     async def place(
@@ -193,6 +204,22 @@
         Raises:
             NoCapacityError: No slot is free, or none became free in time.
         """
+        is_first = not resuming and not excluded
+        count = self.demand[demand.service_model]
+        count.requested += is_first
+        try:
+            return await self._place(demand, excluded, resuming=resuming)
+        except NoCapacityError:
+            count.refused += is_first
+            raise
+
+    async def _place(
+        self,
+        demand: Demand,
+        excluded: frozenset[ids.BackendId],
+        *,
+        resuming: bool,
+    ) -> candidates_module.Candidate:
         if resuming or not any(map(demand.competes_with, self.waiting)):
             found = self.try_place(demand, excluded, resuming=resuming)
             if found is not None:
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -105,6 +105,9 @@
             collections.Counter()
         )
         """Number of VMs by use, as of the last step."""
+        self.holders: collections.Counter[str] = collections.Counter()
+        """Number of idle VMs known to hold a model's weights, as of the last
+        step."""
         self.has_traffic = False
         """Whether requests have arrived; only then are loads rate-limited."""
         self._layout: layout.Plan | None = None
@@ -170,6 +173,7 @@
             orders.extend(_STEPS[group.phase](self, group, now_s))
         survey = self._survey(now_s)
         self.vms_by_use = survey.count_by_use()
+        self.holders = survey.count_idle_holders()
         orders.extend(self._form(survey, now_s))
         self._close_slow_groups(survey, now_s)
         self._convert(survey, now_s)
@@ -590,6 +594,7 @@
             model=group.model,
             phase=phase.value,
             members=",".join(group.members),
+            engines=",".join(host.last_model for host in hosts),
             oldest_report_s=round(
                 max(now_s - host.announced_s for host in hosts), 3
             ),
--- a/src/flamingocleat/version/service_survey.py
+++ b/src/flamingocleat/version/service_survey.py
@@ -91,6 +91,12 @@
             }
         )
 
+    def count_idle_holders(self) -> collections.Counter[str]:
+        """Return the number of idle VMs that hold each model's weights."""
+        return collections.Counter(
+            name for each in self.idle for name in formation.held_models(each)
+        )
+
     def add(
         self,
         group: group_module.Group,
--- a/tests/direct/test_admission.py
+++ b/tests/direct/test_admission.py
@@ -323,3 +323,23 @@
             used_fractions.append(len(busy) / 48)
     assert admitted / (admitted + refused) > 0.5
     assert sum(used_fractions) / len(used_fractions) > 0.93
+
+
+def test_refused_requests_are_counted_once():
+    """A request that is placed again must not count as further demand."""
+
+    async def run():
+        harness = Harness(heads=1, slots=1)
+        wanted = harness.demand()
+        first = await harness.admission.place(wanted)
+        with pytest.raises(admission.NoCapacityError):
+            await harness.admission.place(
+                harness.demand(arrived_s=harness.clock.now_s - 8)
+            )
+        tried = frozenset({first.view.backend})
+        with pytest.raises(admission.NoCapacityError):
+            await harness.admission.place(wanted, tried)
+        count = harness.admission.demand[wanted.service_model]
+        assert (count.requested, count.refused) == (2, 1)
+
+    asyncio.run(run())
