--- a/tests/direct/test_weights.py
+++ b/tests/direct/test_weights.py
@@ -122,6 +122,18 @@
     assert simulation.open_groups()["small"] >= 1
 
 
+def test_new_leader_leaves_the_models_of_idle_engines_alone(simulation):
+    """Only members of a group report the model that their engine holds."""
+    spares = [vm for vm in simulation.vms.values() if vm.serves_no_group()]
+    assert len(spares) == 6
+    held_before = {vm.backend: (vm.model, vm.staged) for vm in spares}
+    simulation.start_term(3)
+    simulation.manager.has_traffic = True
+    simulation.run(6)
+    assert {vm.backend: (vm.model, vm.staged) for vm in spares} == held_before
+    assert simulation.manager.holders == {"large": 6, "small": 6}
+
+
 def test_weights_are_not_replaced_while_capacity_suffices(simulation):
     """A spare must keep its weights even if the layout assigns it others.
 
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -2,6 +2,7 @@
 
 import random
 
+from flamingocleat.process import coordinator
 from flamingocleat.version import catalog
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import group as group_module
@@ -29,6 +30,7 @@
 )
 TICK_S = 0.1
 ANNOUNCE_INTERVAL_S = 1.2
+SETTLE_S = ANNOUNCE_INTERVAL_S * coordinator.SETTLE_INTERVALS
 STALL_S = 4.0
 STATE = fleet_module.GroupState
 SETTINGS = groups.GroupManagerSettings(STALL_S, 1)
@@ -58,6 +60,17 @@
         self.highest_epoch = 0
         self.opens_s: float | None = None
 
+    def serves_no_group(self) -> bool:
+        """Return whether it is in no group of several VMs."""
+        return self.group is None or len(self.members) == 1
+
+    def has_joined(self) -> bool:
+        """Return whether it reports the model that its engine holds.
+
+        The engine keeps the model of its last group, but does not report it.
+        """
+        return self.group is not None and self.state is not STATE.JOINING
+
 
 class Simulation:
     """VMs and a group manager, with checks of the platform's rules."""
@@ -87,9 +100,14 @@
         self.ready_members: set[tuple[str, str]] = set()
 
     def start_term(self, term: int) -> None:
-        """Start the term of a new leader, which has no state yet."""
+        """Start the term of a new leader, which has no state yet.
+
+        Until all VMs have announced themselves it adopts groups and gives no
+        orders.
+        """
         self.fleet = fleet_module.Fleet()
         self.manager = self.make_manager(term)
+        self.settled_s = self.now_s + SETTLE_S
 
     def make_manager(self, term: int) -> groups.GroupManager:
         """Return a group manager that has no state yet."""
@@ -120,6 +138,9 @@
             self.apply_order(order)
         self._probe()
         self._check_serving()
+        if self.now_s < self.settled_s:
+            self.manager.adopt(self.now_s)
+            return
         for order in self.manager.step(self.now_s):
             self.orders.append(order)
             arrival_s = self.now_s + TICK_S / 2
@@ -150,7 +171,7 @@
                 slots=24,
                 domain=vm.domain,
                 staged=vm.staged,
-                model=vm.model,
+                model=vm.model if vm.has_joined() else "",
                 group=report,
             ),
             self.now_s,
