Keep each spare in a group of its own, so that a new leader knows its engine

Cause: only a member of a group reports the model of its engine. A spare loaded its weights in a group of its own and left it; only the leader remembered what the engine held. The next leader took the weights beside the engine for all that the VM has and had them loaded into the engine: each spare then held one model twice. The model with four VMs to a group lost its spares for a load of 16 s, and a spare that had held it joined a group of the other.

Change: the spare stays a member. A VM that left its group by order joins one of its own for the model that its engine still holds, which takes 0.2 s. No state is added: the VM itself tells every leader, also after a restart of all voters. Groups of spares are named so that a leader never opens one whose model needs a single VM. Spares that are late to announce themselves are probed as members are, and so is a VM that leaves an order to join unanswered.

Rejected: telling the other voters in the log (a write for each change, so that a full disk would cost the lead) or in heartbeats (lost when all voters restart).

Each new test fails without its guard.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -230,7 +230,7 @@
                 self._stop_vm(vm)
                 self.restarts.append((self.now_s + DOMAIN_OUTAGE_S, vm))
             return
-        joined = [vm for vm in alive if vm.group is not None] or alive
+        joined = [vm for vm in alive if not vm.serves_no_group()] or alive
         if joined:
             lost = self.random.choice(joined)
             self._stop_vm(lost)
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -444,6 +444,13 @@
         )
         if outcome is platform_module.OrderOutcome.FENCED:
             manager.on_order_refused(order, time.monotonic())
+        backend = self.fleet.backends.get(order.backend)
+        if (
+            outcome is platform_module.OrderOutcome.UNKNOWN
+            and order.op is orders_module.Op.JOIN
+            and backend is not None
+        ):
+            await self._probe_backend(manager, backend)
 
     def _probe(self) -> None:
         if not self.settled:
--- a/src/flamingocleat/version/adoption.py
+++ b/src/flamingocleat/version/adoption.py
@@ -23,6 +23,9 @@
 """How long members of an adopted group may take to announce themselves. Those
 that only knew the former leader find the next one within two intervals of
 1.2 s."""
+SPARE_SUFFIX = "-spare"
+"""End of the name of a group in which a single VM keeps a model in its engine.
+Such a group is never opened."""
 ENDED_RETENTION_S = 60.0
 """How long an ended group is remembered; announcements delayed by a partition
 may arrive after its end."""
@@ -91,6 +94,8 @@
         model = reported.model(engine)
         if phase is None or model is None:
             return None
+        if reported.name.endswith(SPARE_SUFFIX):
+            return None
         if head.announced_s <= self.ended_s.get(reported.name, float("-inf")):
             # This leader ended the group, and the head has not announced
             # itself since.
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -140,8 +140,17 @@
         return self.engine.read_per_s / self.pace(group)
 
     def members_to_probe(self, now_s: float) -> list[fleet_module.Backend]:
-        """Return the members that the leader should try to connect to."""
-        found = []
+        """Return the VMs that the leader should try to connect to.
+
+        These are members of groups, and spares that are late to announce
+        themselves: a lost one would be chosen for the next group.
+        """
+        found = {
+            backend.announcement.backend: backend
+            for backend in self.fleet.of_service(self.service)
+            if now_s - backend.announced_s > PROBE_AFTER_S
+            and self._is_usable(backend, now_s)
+        }
         for group in self.groups.values():
             suspected = not self.evidence_of(group.head).serves(now_s)
             for member in group.members:
@@ -154,8 +163,8 @@
                     > now_s - group_module.LEASE_S
                 )
                 if late or (suspected and recent):
-                    found.append(backend)
-        return found
+                    found[member] = backend
+        return list(found.values())
 
     def evidence_of(self, backend: ids.BackendId) -> group_module.Evidence:
         """Return the mutable liveness evidence of a VM."""
@@ -171,7 +180,7 @@
         orders: list[Order] = []
         for group in list(self.groups.values()):
             orders.extend(_STEPS[group.phase](self, group, now_s))
-        survey = self._survey(now_s)
+        survey = self.survey(now_s)
         self.vms_by_use = survey.count_by_use()
         self.holders = survey.count_idle_holders()
         orders.extend(self._form(survey, now_s))
@@ -251,15 +260,15 @@
         state = self._reported_state(group.head, group)
         if state is fleet_module.GroupState.JOINING:
             return []
-        if state is None and backend.last_model == group.model:
-            self._remove_group(group, "the spare has loaded the weights", now_s)
-            return []
         if now_s - group.since_s > 2 * model.load_s + FORMING_MARGIN_S:
             self._remove_group(group, "warming timed out", now_s)
             return []
         if state is None:
             return self._throttle(self._join(group, group.head), now_s)
-        return self._throttle(self._leave(group, backend), now_s)
+        # The VM stays a member, because only members report the model that
+        # their engine holds, and the next leader knows nothing else of it.
+        self._remove_group(group, "the spare has loaded the weights", now_s)
+        return []
 
     def _step_forming(self, group: Group, now_s: float) -> list[Order]:
         missing = self._unusable_members(group, now_s)
@@ -486,7 +495,8 @@
 
     # New groups.
 
-    def _survey(self, now_s: float) -> service_survey.Survey:
+    def survey(self, now_s: float) -> service_survey.Survey:
+        """Return a summary of the VMs and groups as they are now."""
         assert self.engine is not None
         return service_survey.Survey(
             self.engine,
@@ -576,8 +586,9 @@
         epoch = ids.Epoch(
             (self.term << adoption_module.TERM_SHIFT) + self.counter
         )
+        suffix = adoption_module.SPARE_SUFFIX if phase is Phase.WARMING else ""
         group = Group(
-            name=f"{self.service}-{epoch}",
+            name=f"{self.service}-{epoch}{suffix}",
             epoch=epoch,
             model=model.name,
             members=tuple(host.announcement.backend for host in hosts),
@@ -605,12 +616,13 @@
         """Make spares load their staged weights into their engines.
 
         Their memory then has room for another model's weights, and they can
-        join a group of the first model without a delay.
+        join a group of the first model without a delay. A VM that has left its
+        group joins one of its own for the model that its engine still holds.
         """
         orders: list[Order] = []
         for backend in list(survey.idle):
             model = self._find_model(formation.primary_model(backend))
-            if model is not None and not backend.last_model:
+            if model is not None and not backend.announcement.model:
                 warming = self._begin(
                     survey, model, [backend], Phase.WARMING, now_s
                 )
--- a/tests/direct/test_weights.py
+++ b/tests/direct/test_weights.py
@@ -1,5 +1,6 @@
 """Choice of the weights to load and the groups to close after losses."""
 
+import msgspec
 import pytest
 
 from flamingocleat.version import formation
@@ -52,7 +53,7 @@
     members = [
         vm
         for vm in simulation.holders("domain-1", "large")
-        if vm.group is not None and vm.group[2]
+        if not vm.serves_no_group() and vm.group[2]
     ]
     for vm in members[:2]:
         vm.alive = False
@@ -110,7 +111,7 @@
         idle = [
             vm
             for vm in simulation.vms.values()
-            if vm.staged == ("small",) and vm.group is None
+            if vm.staged == ("small",) and vm.serves_no_group()
         ]
         simulation.orders.clear()
         simulation.tick()
@@ -134,6 +135,37 @@
     assert simulation.manager.holders == {"large": 6, "small": 6}
 
 
+def test_spare_of_a_model_served_by_one_vm_stays_a_spare():
+    """A new leader must not open the group in which a spare keeps a model."""
+    simulation = vms.Simulation()
+    simulation.run(12)
+    spare = next(
+        vm
+        for vm in simulation.vms.values()
+        if vm.serves_no_group() and vm.model == "large"
+    )
+    single = msgspec.structs.replace(vms.LARGE, size=1)
+    simulation.start_term(3)
+    simulation.manager.engine = msgspec.structs.replace(
+        ENGINE, models=(single, vms.SMALL)
+    )
+    simulation.run(vms.SETTLE_S - vms.TICK_S)
+    assert spare.group is not None
+    assert spare.group[0] not in simulation.manager.groups
+
+
+def test_lost_spare_is_noticed_before_its_lease_ends(simulation):
+    """A spare that is lost must not be chosen for a group for 3 s."""
+    spare = next(v for v in simulation.vms.values() if v.serves_no_group())
+    simulation.announce(spare)
+    spare.alive = False
+    simulation.run(2.0)
+    assert spare.backend not in {
+        each.announcement.backend
+        for each in simulation.manager.survey(simulation.now_s).idle
+    }
+
+
 def test_weights_are_not_replaced_while_capacity_suffices(simulation):
     """A spare must keep its weights even if the layout assigns it others.
 
@@ -141,7 +173,7 @@
     model whose weights were dropped.
     """
     for vm in list(simulation.vms.values()):
-        if vm.group is None and vm.domain != "domain-0":
+        if vm.serves_no_group() and vm.domain != "domain-0":
             vm.alive = False
     simulation.member("small", 0).alive = False
     simulation.run(12)
@@ -150,7 +182,7 @@
     idle = [
         vm
         for vm in simulation.vms.values()
-        if vm.alive and vm.staged and vm.group is None
+        if vm.alive and vm.staged and vm.serves_no_group()
     ]
     held_before = {vm.backend: {vm.model, *vm.staged} for vm in idle}
     simulation.run(10)
