Leave VMs to the model that lacks capacity

Callers saw: the model with four VMs to a group refused a third of its requests for 20 s, while groups of the other model used a quarter of their slots.

Cause: groups are closed for a model that is short, one after the other as they finish their requests. The VMs that were free first were taken back for a further group of their own model, as it had fewer groups than the layout plans, before the rest was free. The class of fault: a decision that takes several reviews to carry out was not kept from review to review.

Change: while a model is short, one that uses less than 0.6 of its capacity gets no VM that holds the short one's weights, even if those are not enough for a group yet.

Both new tests fail without the change: the choice had no such argument, and the small model got the VMs.

--- a/src/flamingocleat/version/formation.py
+++ b/src/flamingocleat/version/formation.py
@@ -112,16 +112,22 @@
     idle: IdleVms,
     groups: collections.abc.Mapping[str, int],
     planned: collections.abc.Mapping[str, int],
-    short_models: collections.abc.Container[str],
+    short_models: collections.abc.Set[str],
+    ample_models: collections.abc.Set[str] = frozenset(),
 ) -> tuple[catalog_module.Model, Hosts] | None:
     """Return the model and VMs of the group to form next, or None.
 
+    A model with ample capacity gets no VM that one with too little could use,
+    even if that one cannot form a group yet: it may be about to get the VMs of
+    groups that are being closed for it.
+
     Args:
         engine: Engine of the service.
         idle: VMs that can join a group.
         groups: Number of groups that serve or are about to, by model.
         planned: Number of groups that all VMs together should form, by model.
         short_models: Models whose groups lack capacity.
+        ample_models: Models whose groups use only part of their capacity.
     """
     by_load = sorted(
         engine.models,
@@ -134,7 +140,12 @@
     for model in by_load:
         is_missing = groups[model.name] < planned[model.name]
         hosts = _in_one_domain(
-            model, idle, flexible=is_missing or model.name in short_models
+            model,
+            idle,
+            flexible=is_missing or model.name in short_models,
+            reserved_for=(
+                short_models if model.name in ample_models else frozenset()
+            ),
         )
         if not hosts and model.name in short_models and not groups[model.name]:
             # A slow first group takes precedence over further groups of other
@@ -202,11 +213,26 @@
 
 
 def _in_one_domain(
-    model: catalog_module.Model, idle: IdleVms, *, flexible: bool
+    model: catalog_module.Model,
+    idle: IdleVms,
+    *,
+    flexible: bool,
+    reserved_for: collections.abc.Set[str],
 ) -> Hosts:
+    """Return members from one domain, or an empty list.
+
+    Args:
+        model: Model to serve.
+        idle: VMs that can join a group.
+        flexible: Also use VMs counted towards another model.
+        reserved_for: Models whose weights a member must not hold.
+    """
     for hosts in idle.eligible(model, flexible=flexible).values():
-        if len(hosts) >= model.size:
-            return hosts[: model.size]
+        free = [
+            host for host in hosts if reserved_for.isdisjoint(held_models(host))
+        ]
+        if len(free) >= model.size:
+            return free[: model.size]
     return []
 
 
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -50,8 +50,8 @@
 closed for it. That group finishes its requests first, which takes about as
 long."""
 MAX_REMAINING_LOAD = 0.6
-"""A model may lose a group only if its remaining groups then use less than
-this fraction of their capacity."""
+"""A model may lose a group, or has to leave VMs to one that lacks capacity, if
+its (remaining) groups use less than this fraction of their capacity."""
 MIN_PACE = 0.01
 """Lower bound of a model's pace; the configuration may contain zero."""
 MAX_DONORS = 3
@@ -527,6 +527,7 @@
             survey.group_counts,
             self._plan(survey).groups,
             self.short_models,
+            self._ample_models(survey),
         )
         if found is None:
             return None
@@ -560,6 +561,15 @@
             or not survey.group_counts[name]
         }
 
+    def _ample_models(self, survey: service_survey.Survey) -> set[str]:
+        """Return the models that use only part of their groups' capacity."""
+        loaded = survey.nearly_full(MAX_REMAINING_LOAD)
+        return {
+            name
+            for name in survey.capacity
+            if survey.capacity[name] and name not in loaded
+        }
+
     def _spans_domains(self, group: Group) -> bool:
         return formation.spans_domains(
             backend.announcement.domain
--- a/tests/direct/test_weights.py
+++ b/tests/direct/test_weights.py
@@ -262,3 +262,32 @@
     assert counts["lost"] == 1
     assert counts["idle"] == 6
     assert counts["group"] == 17
+
+
+def test_model_with_ample_capacity_leaves_vms_to_one_that_lacks_it(simulation):
+    """VMs freed for the large model were taken back by the small one."""
+    idle = simulation.manager.survey(simulation.now_s).idle
+    chosen = formation.choose(
+        ENGINE,
+        idle,
+        {"large": 1, "small": 2},
+        {"large": 3, "small": 3},
+        short_models={"large"},
+        ample_models={"small"},
+    )
+    assert chosen is not None
+    assert chosen[0].name == "large"
+
+
+def test_vms_are_kept_for_a_group_that_cannot_form_yet(simulation):
+    """Fewer idle VMs than a group of the short model needs must stay idle."""
+    for vm in simulation.vms.values():
+        if vm.serves_no_group() and vm.domain != "domain-0":
+            vm.alive = False
+    simulation.run(4)
+    idle = simulation.manager.survey(simulation.now_s).idle
+    counts = {"large": 1, "small": 2}, {"large": 3, "small": 3}
+    assert formation.choose(ENGINE, idle, *counts, {"large"}, {"small"}) is None
+    found = formation.choose(ENGINE, idle, *counts, {"large"}, set())
+    assert found is not None
+    assert found[0].name == "small"
