Cut off servers whose bytes are no answer and do not end, in gateways and orders

Interim answers without end kept a call until its deadline; so did events with one id again and again, comments, blank lines, bytes without an event and the body of a failure. Events without ids were passed on to the caller without end, though the stream could not be resumed after them. Any byte counted as a sign of life, so the server was not avoided and further callers were sent to it. A body of one-byte chunks did not end within 1.5 s.

Cause: each reader bounded one thing (a head, an event, a body) and none what remains when bytes are none of these.

Change, at the one client for servers and the one parser of events: bytes beyond the body are bounded, whatever they are, and interim answers counted; an event is made of fields, has an id that increases, and on a stream that may be resumed has one at all; only events count as a sign of life; a failure of a stream ends within 0.5 s and 64 KiB; answers to orders have 64 KiB and those read whole 4 MiB (16 MiB before: a gateway of 300 MB had no room for a few). Each of these counts against the server, as other broken answers do.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -31,8 +31,16 @@
 """Time for which a caller may accept no bytes."""
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
-MAX_ANSWER_BYTES = 16_777_216
-"""Size limit of answers that are read whole before they are forwarded."""
+MAX_ANSWER_BYTES = 4_194_304
+"""Size limit of answers that are read whole before they are forwarded. All
+calls to faulty servers together have to fit into a gateway's memory."""
+MAX_SHORT_ANSWER_BYTES = 65_536
+"""The same for answers to orders and for failures of streams."""
+MAX_OVERHEAD_BYTES = 131_072
+"""Bytes of an answer beyond its body, and beyond as many again for the framing
+of chunks, after which the connection is closed."""
+MAX_INTERIM_ANSWERS = 16
+"""Interim answers (1xx) after which a server counts as faulty."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -365,6 +373,8 @@
         self.reader = reader
         self.writer = writer
         self.http = h11.Connection(h11.CLIENT)
+        self.received_bytes = 0
+        self.body_bytes = 0
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "Client":
@@ -398,17 +408,19 @@
 
     async def answer(self) -> Answer:
         """Return the answer's status and headers; raise BrokenAnswerError."""
-        event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
-        if not isinstance(event, h11.Response):
-            raise BrokenAnswerError(f"no answer but {event!r}")
-        return Answer(event.status_code, list(event.headers))
+            if isinstance(event, h11.Response):
+                return Answer(event.status_code, list(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenAnswerError(f"no answer but {event!r}")
+        raise BrokenAnswerError("too many interim answers")
 
     async def read(self) -> bytes:
         """Return the next bytes of the body, or b"" at its end."""
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return b""
@@ -430,11 +442,19 @@
     async def _next_event(self) -> typing.Any:
         try:
             while (event := self.http.next_event()) is h11.NEED_DATA:
-                self.http.receive_data(await self.reader.read(_READ_BYTES))
+                data = await self.reader.read(_READ_BYTES)
+                self.http.receive_data(data)
+                self._count_received(data)
         except (OSError, h11.RemoteProtocolError) as error:
             raise BrokenAnswerError(f"{error!r}") from error
         return event
 
+    def _count_received(self, data: bytes) -> None:
+        """Count bytes; raise BrokenAnswerError if too few belong to a body."""
+        self.received_bytes += len(data)
+        if self.received_bytes > 2 * self.body_bytes + MAX_OVERHEAD_BYTES:
+            raise BrokenAnswerError("too many bytes besides the body")
+
 
 async def request(
     address: str,
@@ -444,6 +464,7 @@
     *,
     headers: collections.abc.Sequence[tuple[bytes, bytes]] = (),
     timeout_s: float,
+    max_body_bytes: int = MAX_ANSWER_BYTES,
 ) -> tuple[Answer, bytes]:
     """Make one request and read the whole answer.
 
@@ -456,6 +477,6 @@
             sent = [(b"host", address.encode()), *headers]
             client.send(method.encode(), target.encode(), sent, body)
             answer = await client.answer()
-            return answer, await client.read_all()
+            return answer, await client.read_all(max_body_bytes)
         finally:
             client.close()
--- a/src/flamingocleat/request/events.py
+++ b/src/flamingocleat/request/events.py
@@ -1,9 +1,19 @@
 """Parses server-sent events from a stream of bytes."""
 
+import re
+
 import msgspec
 
 MAX_EVENT_BYTES = 1_048_576
 """Bound on the bytes that are buffered for events."""
+MAX_FIELD_NAME_BYTES = 64
+"""Bytes of a line within which the colon after its field name must come."""
+MAX_EMPTY_BLOCKS = 8
+"""Consecutive blocks without a field, such as comments that keep a connection
+open, after which the bytes are no answer."""
+
+_BLOCK_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -15,35 +25,72 @@
 
 
 class EventParser:
-    """Splits bytes into complete events and buffers an incomplete one."""
+    """Splits bytes into complete events and buffers an incomplete one.
 
-    def __init__(self) -> None:
+    Ids of events, where they are numeric, must increase.
+    """
+
+    def __init__(self, *, needs_ids: bool = False) -> None:
+        self.needs_ids = needs_ids
+        """Whether each event must have a numeric id."""
         self.buffer = b""
+        self.last_number = -1
+        self.empty_blocks = 0
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events that are completed by the bytes."""
+        """Return the events that are completed by the bytes.
+
+        Raises:
+            ValueError: The bytes are no events.
+        """
+        searched = max(0, len(self.buffer) - _MAX_END_BYTES)
         self.buffer += data
+        found: list[Event] = []
+        start = 0
+        while end := _BLOCK_END.search(self.buffer, max(start, searched)):
+            block = self.buffer[start : end.end()]
+            start = end.end()
+            event = self._parse(block)
+            if event is not None:
+                found.append(event)
+        self.buffer = self.buffer[start:]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise ValueError("an event is too large")
-        found: list[Event] = []
-        while (end := _end(self.buffer)) > 0:
-            raw, self.buffer = self.buffer[:end], self.buffer[end:]
-            found.append(Event(raw, _number(raw)))
+        _check_line(self.buffer.rpartition(b"\n")[2])
         return found
 
+    def _parse(self, block: bytes) -> Event | None:
+        """Return the event of a block, or None if the block has no field."""
+        lines = block.splitlines()
+        for line in lines:
+            _check_line(line)
+        if not any(line and not line.startswith(b":") for line in lines):
+            self.empty_blocks += 1
+            if self.empty_blocks > MAX_EMPTY_BLOCKS:
+                raise ValueError("too many blocks without a field")
+            return None
+        self.empty_blocks = 0
+        number = _number(lines)
+        if number is None:
+            if self.needs_ids:
+                raise ValueError("an event has no id")
+        elif number <= self.last_number:
+            raise ValueError(f"event {number} follows {self.last_number}")
+        else:
+            self.last_number = number
+        return Event(block, number)
+
 
-def _end(data: bytes) -> int:
-    """Return the length of the first complete event, or 0."""
-    ends = [
-        position + len(mark)
-        for mark in (b"\n\n", b"\r\n\r\n")
-        if (position := data.find(mark)) >= 0
-    ]
-    return min(ends, default=0)
+def _check_line(line: bytes) -> None:
+    """Raise ValueError unless a line, or its start, may be a field."""
+    if b":" in line[:MAX_FIELD_NAME_BYTES]:
+        return
+    if len(line) >= MAX_FIELD_NAME_BYTES:
+        raise ValueError("a line is no field of an event")
 
 
-def _number(raw: bytes) -> int | None:
-    for line in raw.splitlines():
+def _number(lines: list[bytes]) -> int | None:
+    for line in lines:
         name, _, value = line.partition(b":")
         if name == b"id" and value.strip().isdigit():
             return int(value)
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -39,6 +39,8 @@
 """A request with less time remaining is not sent."""
 MAX_RETRY_AFTER_FRACTION = 1 / 3
 """Bounds Retry-After to this fraction of the caller's remaining time."""
+FAILURE_BODY_TIMEOUT_S = 0.5
+"""Time within which the body of a stream's failure must arrive."""
 NO_VIEW_RETRY_AFTER_S = 0.5
 """Shortest Retry-After while no configuration has arrived yet."""
 FIRST_VIEW_S = 1.6
@@ -582,16 +584,17 @@
         attempt.candidate.mark_alive(time.monotonic())
         self.forwarder.check_answer(self.call, answer)
         if answer.status != 200:
-            await self._send_failure(answer, await client.read_all())
+            await self._send_failure(answer, await _read_failure(client))
             return
-        parser = events.EventParser()
+        parser = events.EventParser(needs_ids=self.call.route.resumable)
         while data := await client.read():
-            attempt.candidate.mark_alive(time.monotonic())
-            attempt.writing = True
             try:
                 found = parser.feed(data)
             except ValueError as error:
                 raise http.BrokenAnswerError(str(error)) from error
+            if found:
+                attempt.candidate.mark_alive(time.monotonic())
+                attempt.writing = True
             await self._send(answer, found)
         if parser.buffer:
             raise http.BrokenAnswerError("the stream ends within an event")
@@ -634,6 +637,15 @@
         return event.number > int(self.last_event_id)
 
 
+async def _read_failure(client: http.Client) -> bytes:
+    """Return the body of a stream's failure; raise BrokenAnswerError."""
+    try:
+        async with asyncio.timeout(FAILURE_BODY_TIMEOUT_S):
+            return await client.read_all(http.MAX_SHORT_ANSWER_BYTES)
+    except TimeoutError as error:
+        raise http.BrokenAnswerError("the failure does not end") from error
+
+
 def forwarded_headers(headers: http.Headers) -> http.Headers:
     """Return a server's headers without the hop-by-hop ones and the length."""
     return [
