Cut off servers whose bytes do not end, in agents and entries

A call with a permit, and one whose bytes trickled in, was held as long as the server liked.

Cause: the timeout of a blocking socket applies to each read. A body was bounded in some places, the interim answers, trailers and the body of a status check in none.

Change: BoundedSocket gives all reads of an answer together a deadline and a number of bytes. The agent's polls, orders and cancellations share one pool on it; its calls and the entry's bound the head, and the body if it is read whole. Streams are bounded as they are relayed: the entry ends one whose bytes are no event or whose blocks carry no data. Answers of engines that are not streams have 16 MiB rather than 64, which entries refuse anyway.

Open: events that look right may go on until the call's deadline.

--- a/src/flamingocleat/connection/backend.py
+++ b/src/flamingocleat/connection/backend.py
@@ -11,11 +11,11 @@
 import typing
 
 import msgspec
-import urllib3
 import urllib3.exceptions
 
 from flamingocleat import ids
 from flamingocleat import messages
+from flamingocleat.connection import bounded
 from flamingocleat.process import logs
 from flamingocleat.process import settings
 
@@ -25,6 +25,8 @@
 _TIMEOUT_S = 1.0
 """A backend server that takes longer to answer a poll counts as down."""
 _ORDER_RETRY_INTERVAL_S = 1.0
+_MAX_ANSWER_BYTES = 4_194_304
+"""Bounds the list of all prefixes in an engine's cache, the longest answer."""
 _MAX_EVENTS = 4096
 """Cache events kept; an entry that is further behind gets the whole cache."""
 
@@ -152,8 +154,8 @@
         ignore fencing numbers."""
         self.attempted: Order | None = None
         self.attempted_s = float("-inf")
-        self.pool = urllib3.connection_from_url(
-            agent.backend_url, maxsize=1, retries=False, timeout=_TIMEOUT_S
+        self.pool = bounded.Pool(
+            agent.backend_url, _TIMEOUT_S, _MAX_ANSWER_BYTES
         )
         self.stopped = threading.Event()
         self.thread = threading.Thread(
@@ -217,11 +219,11 @@
 
     def _poll(self) -> None:
         asked = time.monotonic()
-        reply = self._get(_STATUS_PATHS[self.kind])
-        if self.kind is messages.BackendKind.PLAIN and reply.status == 404:
+        code, body = self.pool.ask("GET", _STATUS_PATHS[self.kind])
+        if self.kind is messages.BackendKind.PLAIN and code == 404:
             self._call_on_loop(self._on_status, Status(), asked)
             return
-        status = msgspec.json.decode(self._body(reply), type=Status)
+        status = msgspec.json.decode(_check_status(code, body), type=Status)
         self._call_on_loop(self._on_status, status, asked)
         if self.kind is messages.BackendKind.ENGINE:
             self._send_order(status)
@@ -247,15 +249,13 @@
         }
         if order.fence:
             fields["fence"] = order.fence
-        reply = self.pool.request("POST", "/-/orders", json=fields)
-        error = (
-            "" if reply.status == 202 else reply.data.decode(errors="replace")
-        )
+        code, body = self.pool.ask("POST", "/-/orders", fields)
+        error = "" if code == 202 else body.decode(errors="replace")
         self._call_on_loop(self._on_order_result, order, error)
 
     def _poll_cache(self) -> None:
-        reply = self._get(f"/-/events?after={self.mirror.sequence}")
-        events = msgspec.json.decode(self._body(reply), type=_Events).events
+        body = self._get(f"/-/events?after={self.mirror.sequence}")
+        events = msgspec.json.decode(body, type=_Events).events
         expected = self.mirror.sequence
         for event in events:
             expected += 1
@@ -266,16 +266,10 @@
             self._call_on_loop(self._on_events, events)
 
     def _read_cache(self) -> _Cache:
-        body = self._body(self._get("/-/cache"))
-        return msgspec.json.decode(body, type=_Cache)
-
-    def _get(self, path: str) -> urllib3.BaseHTTPResponse:
-        return self.pool.request("GET", path)
+        return msgspec.json.decode(self._get("/-/cache"), type=_Cache)
 
-    def _body(self, reply: urllib3.BaseHTTPResponse) -> bytes:
-        if reply.status != 200:
-            raise ValueError(f"status {reply.status}")
-        return reply.data
+    def _get(self, path: str) -> bytes:
+        return _check_status(*self.pool.ask("GET", path))
 
     def _on_status(self, status: Status, asked_s: float) -> None:
         changed = not self.up or status.loaded != self.status.loaded
@@ -321,3 +315,10 @@
     def _on_cache(self, cache: _Cache) -> None:
         prefixes = {bytes.fromhex(prefix) for prefix in cache.prefixes}
         self.mirror.replace(cache.sequence, prefixes)
+
+
+def _check_status(status: int, body: bytes) -> bytes:
+    """Return the body of an answer; raise ValueError if it is a failure."""
+    if status != 200:
+        raise ValueError(f"status {status}")
+    return body
--- /dev/null
+++ b/src/flamingocleat/connection/bounded.py
@@ -0,0 +1,166 @@
+"""Bounds on what is read from a server through blocking sockets.
+
+The timeout of a socket applies to each read, so a server that sends a few
+bytes again and again would be read without end. Here a deadline and a number
+of bytes apply to all reads of an answer together.
+"""
+
+import socket
+import time
+import typing
+import urllib.parse
+
+import urllib3
+import urllib3.connection
+
+MAX_HEAD_BYTES = 65_536
+"""Bytes of an answer up to the end of its head, interim answers included."""
+_FRAMING_FACTOR = 8
+"""Bytes received for each byte of a body in chunks of one byte, rounded up."""
+
+
+class EndlessAnswerError(OSError):
+    """An answer has more bytes than it may have."""
+
+
+class BoundedSocket(socket.socket):
+    """Socket whose reads end at a deadline and after a number of bytes."""
+
+    deadline_s = float("inf")
+    """On the monotonic clock."""
+    allowed_bytes = float("inf")
+
+    @classmethod
+    def replace(cls, sock: socket.socket) -> "BoundedSocket":
+        """Return a socket that takes over the connection of another one."""
+        timeout_s = sock.gettimeout()
+        bounded = cls(fileno=sock.detach())
+        bounded.settimeout(timeout_s)
+        return bounded
+
+    def bound(self, deadline_s: float, max_bytes: float) -> None:
+        """Set the deadline and the number of bytes of the reads to come."""
+        self.deadline_s = deadline_s
+        self.allowed_bytes = max_bytes
+
+    def bound_body(self, deadline_s: float, max_bytes: int) -> None:
+        """Set the bounds for a body of at most this size, in any framing."""
+        self.bound(deadline_s, MAX_HEAD_BYTES + _FRAMING_FACTOR * max_bytes)
+
+    def unbound(self) -> None:
+        """Remove the bounds, for a stream that is checked as it is read."""
+        self.bound(float("inf"), float("inf"))
+
+    def recv_into(self, *arguments: typing.Any) -> int:
+        """Receive bytes as `socket.recv_into` does.
+
+        Raises:
+            TimeoutError: The deadline has passed.
+            EndlessAnswerError: More bytes than allowed have arrived.
+        """
+        if self.deadline_s != float("inf"):
+            self._limit_timeout()
+        count = super().recv_into(*arguments)
+        self.allowed_bytes -= count
+        if self.allowed_bytes < 0:
+            raise EndlessAnswerError("the answer does not end")
+        return count
+
+    def _limit_timeout(self) -> None:
+        remaining_s = self.deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("the answer does not end in time")
+        timeout_s = self.gettimeout()
+        if timeout_s is None or timeout_s > remaining_s:
+            self.settimeout(remaining_s)
+
+
+class _Connection(urllib3.connection.HTTPConnection):
+    """Connection whose answers are bounded in time and size."""
+
+    def __init__(
+        self,
+        *arguments: typing.Any,
+        answer_timeout_s: float,
+        max_answer_bytes: int,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(*arguments, **options)
+        self.answer_timeout_s = answer_timeout_s
+        self.max_answer_bytes = max_answer_bytes
+
+    def connect(self) -> None:
+        """Connect, and bound the answer to the first request."""
+        super().connect()
+        self.sock = BoundedSocket.replace(self.sock)
+        self._bound_answer()
+
+    def request(self, *arguments: typing.Any, **options: typing.Any) -> None:
+        """Send a request, and bound its answer."""
+        if self.sock is not None:
+            self._bound_answer()
+        super().request(*arguments, **options)
+
+    def _bound_answer(self) -> None:
+        typing.cast(BoundedSocket, self.sock).bound_body(
+            time.monotonic() + self.answer_timeout_s, self.max_answer_bytes
+        )
+
+
+class Pool(urllib3.HTTPConnectionPool):
+    """Connections to one server, for requests with short answers.
+
+    Args:
+        url: Address of the server.
+        timeout_s: Time to connect, and time for a request and its answer.
+        max_answer_bytes: Size limit of an answer's body.
+    """
+
+    ConnectionCls = _Connection
+
+    def __init__(
+        self, url: str, timeout_s: float, max_answer_bytes: int
+    ) -> None:
+        parts = urllib.parse.urlsplit(url)
+        super().__init__(
+            parts.hostname or "",
+            parts.port,
+            maxsize=1,
+            retries=False,
+            timeout=timeout_s,
+            answer_timeout_s=timeout_s,
+            max_answer_bytes=max_answer_bytes,
+        )
+        self.max_answer_bytes = max_answer_bytes
+
+    def ask(
+        self, method: str, path: str, fields: typing.Any = None
+    ) -> tuple[int, bytes]:
+        """Make one request; return the status and body of its answer.
+
+        Args:
+            method: Method of the request.
+            path: Path of the request.
+            fields: Content of a JSON body, or None.
+
+        Raises:
+            urllib3.exceptions.HTTPError: There is no answer within the bounds.
+            EndlessAnswerError: The body is larger than allowed.
+        """
+        response = self.request(
+            method,
+            path,
+            preload_content=False,
+            **({} if fields is None else {"json": fields}),
+        )
+        try:
+            body = response.read(
+                self.max_answer_bytes + 1, decode_content=False
+            )
+            if len(body) > self.max_answer_bytes:
+                raise EndlessAnswerError("the answer does not end")
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return response.status, body
--- a/src/flamingocleat/request/attempt.py
+++ b/src/flamingocleat/request/attempt.py
@@ -18,6 +18,7 @@
 from flamingocleat import errors
 from flamingocleat import ids
 from flamingocleat import messages
+from flamingocleat.connection import bounded
 from flamingocleat.connection import watch
 from flamingocleat.process import logs
 from flamingocleat.process import settings
@@ -129,7 +130,7 @@
 
     def __init__(
         self,
-        sock: socket.socket,
+        sock: bounded.BoundedSocket,
         response: urllib3.response.BaseHTTPResponse,
         method: str,
         resources: contextlib.ExitStack,
@@ -151,6 +152,7 @@
         Afterwards the body must be read from the socket, which is made
         non-blocking. urllib3 has no public access to its buffer.
         """
+        self.sock.unbound()
         self.sock.setblocking(False)
         body = getattr(self.response, "_fp", None)
         return typing.cast(bytes, body.fp.peek()) if body and body.fp else b""
@@ -170,6 +172,7 @@
             raise AttemptError(
                 problem.Outcome.UNKNOWN, "answer does not tell its length"
             )
+        self.sock.bound_body(self.sock.deadline_s, limit)
         try:
             body = self.response.read(limit + 1, decode_content=False)
             if len(body) <= limit and not has_no_body:
@@ -281,7 +284,9 @@
             connection = _connect(self.settings, self.call, candidate)
             resources.callback(connection.close)
             # The response takes over the socket if it ends the connection.
-            sock = connection.sock
+            sock = bounded.BoundedSocket.replace(connection.sock)
+            connection.sock = sock
+            sock.bound(self.call.deadline_s, bounded.MAX_HEAD_BYTES)
             headers = _headers(self.call, candidate.view, offset, permit)
             try:
                 connection.request(
--- a/src/flamingocleat/request/dispatch.py
+++ b/src/flamingocleat/request/dispatch.py
@@ -25,6 +25,7 @@
 from flamingocleat import errors
 from flamingocleat import ids
 from flamingocleat import messages
+from flamingocleat.connection import bounded
 from flamingocleat.process import logs
 from flamingocleat.process import settings
 from flamingocleat.process import shutdown
@@ -52,7 +53,9 @@
 _CANCEL_TIMEOUT_S = 1.0
 _READ_BYTES = 16_384
 _LAST_CHUNK = b"\r\n0\r\n\r\n"
-_MAX_ENGINE_ANSWER_BYTES = 67_108_864
+_MAX_ENGINE_ANSWER_BYTES = 16_777_216
+"""Entries refuse larger answers, by default."""
+_MAX_CANCEL_ANSWER_BYTES = 65_536
 _CONNECTION_ERRORS = (
     OSError,
     urllib3.exceptions.HTTPError,
@@ -110,7 +113,7 @@
         self.deadline_s = time.monotonic() + headers.deadline_ms / 1000
         self.caller: socket.socket | None = environ.get(SOCKET_KEY)
         self.connection: urllib3.connection.HTTPConnection | None = None
-        self.socket: socket.socket | None = None
+        self.socket: bounded.BoundedSocket | None = None
         self.sent = False
         """Whether bytes may have been sent to the backend server."""
         self.last_bytes = b""
@@ -152,8 +155,8 @@
         self.port = url.port or http.client.HTTP_PORT
         self.calls: dict[str, Call] = {}
         self.counter = itertools.count(1)
-        self.cancel_pool = urllib3.HTTPConnectionPool(
-            self.host, self.port, retries=False, timeout=_CANCEL_TIMEOUT_S
+        self.cancel_pool = bounded.Pool(
+            agent.backend_url, _CANCEL_TIMEOUT_S, _MAX_CANCEL_ANSWER_BYTES
         )
 
     def __call__(
@@ -206,9 +209,7 @@
         if self.kind is messages.BackendKind.PLAIN:
             return
         try:
-            self.cancel_pool.request(
-                "POST", "/-/cancel", json={"attempt": call.attempt}
-            )
+            self.cancel_pool.ask("POST", "/-/cancel", {"attempt": call.attempt})
         except _CONNECTION_ERRORS as error:
             logs.warning(
                 _log,
@@ -232,6 +233,8 @@
             return self._answer_plain(call, response, start_response)
         if not response.chunked:
             return self._answer_unstreamed(call, response, start_response)
+        if call.socket is not None:
+            call.socket.unbound()
         first = self._read(call, response)
         call.environ[FRAMED_KEY] = True
         start_response(
@@ -256,13 +259,17 @@
             raise gate.RefusedError(
                 503, "cannot connect to backend server", gate.Outcome.NOT_RUN
             ) from error
-        call.socket = connection.sock
+        call.socket = bounded.BoundedSocket.replace(connection.sock)
+        connection.sock = call.socket
         self._check(call)
         if call.headers.permit:
             self.gate.use(call.headers.permit, call.headers.key)
         call.sent = True
         try:
             connection.timeout = _read_timeout_s(call, self.kind)
+            call.socket.bound(
+                _read_deadline_s(call, self.kind), bounded.MAX_HEAD_BYTES
+            )
             connection.request(
                 call.environ["REQUEST_METHOD"],
                 _request_target(call.environ),
@@ -347,6 +354,8 @@
         """
         if response.length is None and not response.chunked:
             raise _backend_failure(call, CutError("answer has no length"))
+        if call.socket is not None:
+            call.socket.bound_body(_read_deadline_s(call, self.kind), limit)
         try:
             body = response.read(limit)
         except _CONNECTION_ERRORS as error:
@@ -572,6 +581,12 @@
     return max(0.001, call.remaining_s())
 
 
+def _read_deadline_s(call: Call, kind: messages.BackendKind) -> float:
+    """Return the deadline of all reads of an answer together."""
+    timeout_s = _read_timeout_s(call, kind)
+    return float("inf") if timeout_s is None else time.monotonic() + timeout_s
+
+
 def _backend_failure(call: Call, error: BaseException) -> gate.RefusedError:
     timeouts = TimeoutError, urllib3.exceptions.TimeoutError
     status = 504 if isinstance(error, timeouts) else 502
--- a/src/flamingocleat/request/relay.py
+++ b/src/flamingocleat/request/relay.py
@@ -21,7 +21,14 @@
 MAX_EVENT_BYTES = 1_048_576
 """Bound on an event that is buffered until it is complete."""
 
+MAX_EMPTY_BLOCKS = 8
+"""Consecutive blocks without data, such as comments that keep a connection
+open, after which the bytes are no answer."""
+MAX_FIELD_NAME_BYTES = 64
+"""Bytes of an event within which the colon after a field name must come."""
+
 _EVENT_END = b"\n\n"
+_DATA_FIELD = b"data:"
 _FINAL_EVENT = b"data: [DONE]\n\n"
 
 _log = logs.logger("relay")
@@ -84,6 +91,7 @@
         """Value of `delivered` when the current connection was opened."""
         self.pending = b""
         """Start of an event that is not complete yet."""
+        self.empty_blocks = 0
         self.done = False
 
     def open(self) -> bytes | messages.Answer:
@@ -105,8 +113,7 @@
         else:
             cut = data.rfind(_EVENT_END) + len(_EVENT_END)
             if cut < len(_EVENT_END):
-                if len(data) > MAX_EVENT_BYTES:
-                    raise connection_error("an event is too large")
+                _check_start(data)
                 self.pending = data
                 return b""
             self.pending = data[cut:]
@@ -115,9 +122,22 @@
         if end >= 0 and (not end or data[end - 1 : end] == b"\n"):
             data = data[: end + len(_FINAL_EVENT)]
             self.done = True
-        self.delivered += data.count(_EVENT_END)
+        blocks = data.count(_EVENT_END)
+        if data.count(_DATA_FIELD) < blocks:
+            self._count_empty_blocks(data)
+        else:
+            self.empty_blocks = 0
+        self.delivered += blocks
         return data
 
+    def _count_empty_blocks(self, data: bytes) -> None:
+        for block in data.split(_EVENT_END)[:-1]:
+            self.empty_blocks += 1
+            if _DATA_FIELD in block:
+                self.empty_blocks = 0
+            if self.empty_blocks > MAX_EMPTY_BLOCKS:
+                raise connection_error("too many blocks without data")
+
     def resume(self, error: Exception) -> bytes:
         """Continue on another replica after the last delivered event.
 
@@ -291,6 +311,17 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def _check_start(data: bytes) -> None:
+    """Raise AttemptError unless bytes may be the start of an event."""
+    if len(data) > MAX_EVENT_BYTES:
+        raise connection_error("an event is too large")
+    if (
+        len(data) >= MAX_FIELD_NAME_BYTES
+        and b":" not in data[:MAX_FIELD_NAME_BYTES]
+    ):
+        raise connection_error("bytes are no event")
+
+
 def connection_error(reason: str) -> attempt.AttemptError:
     """Return the error for a connection that cannot be read any further."""
     return attempt.AttemptError(problem.Outcome.UNKNOWN, reason)
