Answer a change of voters once the replaced voter is no longer needed

Cause: the reply came with the entry of the joint membership. Until the entry that ends it is committed, a quorum needs a majority of the old voters too, one of whom is gone for good.

Change: a proposal that changes the voters is done when the newest membership is committed and not joint. A command that is proposed meanwhile waits for that as well, since it may be the same call sent again. A leader that is not among the new voters steps down as that entry is applied; it answers all the same. If another leader takes over first, the outcome is unknown to the caller, as for any entry.

--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -265,6 +265,9 @@
     async def propose(self, command: typing.Any) -> typing.Any:
         """Commit a command and return the machine's result.
 
+        After a change of the voters this takes until the new ones alone form
+        the quorum: until then a replaced voter may still be needed.
+
         Raises:
             NotLeaderError: The command was not proposed.
             CommitUnknownError: The command may or may not take effect.
@@ -283,9 +286,13 @@
             index = self._append_as_leader(
                 data, self.membership.replace(voters)
             )
+        term = self.term
         result = asyncio.get_running_loop().create_future()
-        self.proposals[index] = _Proposal(self.term, result)
-        return await result
+        self.proposals[index] = _Proposal(term, result)
+        outcome = await result
+        if voters is not None or self.membership.is_joint:
+            await self._wait_for_final_membership(term, index)
+        return outcome
 
     async def confirm(self) -> None:
         """Wait until a quorum has confirmed this leader, for a read.
@@ -320,10 +327,23 @@
 
     def _may_change_voters(self) -> bool:
         """Return whether the last membership change is complete."""
+        return (
+            self._has_final_membership()
+            and self.term_start <= self.applied_index
+        )
+
+    async def _wait_for_final_membership(self, term: int, index: int) -> None:
+        """Wait until the newest membership is committed and not joint."""
+        await self._wait(self._has_final_membership, term, Role.LEADER)
+        # A leader that is not among the new voters steps down in its term.
+        if self.term != term or not self._has_final_membership():
+            raise _commit_unknown(index)
+
+    def _has_final_membership(self) -> bool:
+        """Return whether the newest membership is committed and not joint."""
         return (
             not self.membership.is_joint
             and self.membership_index <= self.applied_index
-            and self.term_start <= self.applied_index
         )
 
     def _is_confirmed(self, confirmation_round: int) -> bool:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -441,12 +441,15 @@
         await cluster.kill(lost)
         leader._advance_membership_change = lambda: None
         await cluster.start("d", new=True)
-        await leader.propose(replacement(lost, "d"))
-        assert leader.membership.is_joint
+        proposal = asyncio.create_task(leader.propose(replacement(lost, "d")))
         await cluster_module.wait_until(
             lambda: cluster.voters["d"].membership.is_joint
         )
+        assert leader.membership.is_joint
+        assert not proposal.done()
         await cluster.kill(leader.voter)
+        with pytest.raises(errors.CommitUnknownError):
+            await proposal
         await cluster.start(lost)
         new = await cluster.leader(kept, "d")
         await cluster_module.wait_until(lambda: not new.membership.is_joint)
@@ -455,6 +458,50 @@
     run_cluster(scenario, tmp_path)
 
 
+def test_leader_lost_after_a_replacement_is_not_missed(tmp_path):
+    """The reply must not come while a replaced voter is still needed."""
+
+    async def scenario(cluster):
+        leader = await cluster.settled_leader()
+        lost, kept = other_voters(cluster, leader)
+        await cluster.kill(lost)
+        await cluster.start("d", new=True)
+        await leader.propose(replacement(lost, "d"))
+        await cluster.kill(leader.voter)
+        await cluster.leader(kept, "d")
+        await submit_many(cluster, 0, 5)
+
+    run_cluster(scenario, tmp_path)
+
+
+def test_resent_replacement_is_answered_no_sooner(tmp_path):
+    """A call that is sent again must not be answered from the log alone."""
+
+    async def scenario(cluster):
+        leader = await cluster.settled_leader()
+        lost, _ = other_voters(cluster, leader)
+        await cluster.kill(lost)
+        await cluster.start("d", new=True)
+        advance = leader._advance_membership_change
+        leader._advance_membership_change = lambda: None
+        calls = []
+        for _ in range(2):
+            last = leader.entries.last_index
+            call = leader.propose(replacement(lost, "d"))
+            calls.append(asyncio.create_task(call))
+            await cluster_module.wait_until(
+                lambda last=last: leader.applied_index > last
+            )
+        assert leader.membership.is_joint
+        assert not any(call.done() for call in calls)
+        leader._advance_membership_change = advance
+        advance()
+        for outcome in await asyncio.gather(*calls):
+            assert outcome.decision is _ACCEPTED
+
+    run_cluster(scenario, tmp_path)
+
+
 def test_replaced_leader_steps_down(tmp_path):
     """A leader that is replaced must step down and start no election.
 
