--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import math
 import random
@@ -60,6 +59,8 @@
 """Assumed duration of a request until one has been measured."""
 DURATION_SMOOTHING = 0.1
 """Weight of the latest duration in the moving average."""
+MAX_COUNTED_MODELS = 64
+"""Bound on the models whose requests are counted; callers may name any."""
 MAX_WAITING = 64
 """Bound on the requests that wait in one gateway."""
 
@@ -176,9 +177,7 @@
         self.duration_s: dict[ServiceModel, float] = {}
         """Mean time that a request occupies its slot, by service and model."""
         self.late_waits: dict[ServiceModel, LateWaitStats] = {}
-        self.demand: collections.defaultdict[ServiceModel, DemandCount] = (
-            collections.defaultdict(DemandCount)
-        )
+        self.demand: dict[ServiceModel, DemandCount] = {}
         candidates.subscribe(self.dispatch)
 
     async def place(
@@ -205,7 +204,7 @@
             NoCapacityError: No slot is free, or none became free in time.
         """
         is_first = not resuming and not excluded
-        count = self.demand[demand.service_model]
+        count = self._demand_count(demand.service_model)
         count.requested += is_first
         try:
             return await self._place(demand, excluded, resuming=resuming)
@@ -213,6 +212,14 @@
             count.refused += is_first
             raise
 
+    def _demand_count(self, service_model: ServiceModel) -> DemandCount:
+        if (
+            service_model not in self.demand
+            and len(self.demand) >= MAX_COUNTED_MODELS
+        ):
+            return DemandCount()
+        return self.demand.setdefault(service_model, DemandCount())
+
     async def _place(
         self,
         demand: Demand,
--- a/tests/direct/test_admission.py
+++ b/tests/direct/test_admission.py
@@ -343,3 +343,16 @@
         assert (count.requested, count.refused) == (2, 1)
 
     asyncio.run(run())
+
+
+def test_models_that_callers_make_up_are_not_all_counted():
+    """Each would take memory here and bytes in every report to the leader."""
+
+    async def run():
+        harness = Harness()
+        for number in range(3 * admission.MAX_COUNTED_MODELS):
+            with pytest.raises(admission.NoCapacityError):
+                await harness.place(model=f"made-up-{number}")
+        assert len(harness.admission.demand) == admission.MAX_COUNTED_MODELS
+
+    asyncio.run(run())
