Pass comments within a stream on to the caller

They are passed on once the answer has begun, and still are no sign of life. The new test fails without this.

--- a/src/flamingocleat/request/events.py
+++ b/src/flamingocleat/request/events.py
@@ -9,8 +9,7 @@
 MAX_FIELD_NAME_BYTES = 64
 """Bytes of a line within which the colon after its field name must come."""
 MAX_EMPTY_BLOCKS = 8
-"""Consecutive blocks without a field, such as comments that keep a connection
-open, after which the bytes are no answer."""
+"""Consecutive blocks without a field after which the bytes are no answer."""
 
 _BLOCK_END = re.compile(rb"\r?\n\r?\n")
 _MAX_END_BYTES = 4
@@ -20,8 +19,10 @@
     """One complete event, including the blank line that ends it."""
 
     data: bytes
-    number: int | None
+    number: int | None = None
     """The event's id if it is numeric, otherwise None."""
+    has_fields: bool = True
+    """False for comments, which may keep a connection open."""
 
 
 class EventParser:
@@ -50,17 +51,14 @@
         while end := _BLOCK_END.search(self.buffer, max(start, searched)):
             block = self.buffer[start : end.end()]
             start = end.end()
-            event = self._parse(block)
-            if event is not None:
-                found.append(event)
+            found.append(self._parse(block))
         self.buffer = self.buffer[start:]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise ValueError("an event is too large")
         _check_line(self.buffer.rpartition(b"\n")[2])
         return found
 
-    def _parse(self, block: bytes) -> Event | None:
-        """Return the event of a block, or None if the block has no field."""
+    def _parse(self, block: bytes) -> Event:
         lines = block.splitlines()
         for line in lines:
             _check_line(line)
@@ -68,7 +66,7 @@
             self.empty_blocks += 1
             if self.empty_blocks > MAX_EMPTY_BLOCKS:
                 raise ValueError("too many blocks without a field")
-            return None
+            return Event(block, has_fields=False)
         self.empty_blocks = 0
         number = _number(lines)
         if number is None:
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -592,7 +592,7 @@
                 found = parser.feed(data)
             except ValueError as error:
                 raise http.BrokenAnswerError(str(error)) from error
-            if found:
+            if any(event.has_fields for event in found):
                 attempt.candidate.mark_alive(time.monotonic())
                 attempt.writing = True
             await self._send(answer, found)
@@ -631,7 +631,13 @@
         await exchange.send(b"".join(event.data for event in unsent))
 
     def _is_unsent(self, event: events.Event) -> bool:
-        """Return whether the event has not been sent to the caller yet."""
+        """Return whether the event has to be sent to the caller.
+
+        Comments are sent once the answer has begun: before, it may still turn
+        out to be none.
+        """
+        if not event.has_fields:
+            return self.call.exchange.started
         if event.number is None or not self.last_event_id.isdigit():
             return True
         return event.number > int(self.last_event_id)
--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -165,6 +165,24 @@
     support.run_scenario(scenario)
 
 
+def test_comments_within_a_stream_reach_the_caller():
+    """They may keep the caller's connection open during a pause."""
+
+    async def scenario(harness):
+        async def answer(received):
+            await received.send_events(1, 1, end=False)
+            await received.send(support.chunk(b": wait\n\n"))
+            await received.send(support.chunk(support.event(2)))
+            await received.send(b"0\r\n\r\n")
+
+        await harness.add(answer, service="llm")
+        reply = await harness.request("/stream/x")
+        expected = support.event(1) + b": wait\n\n" + support.event(2)
+        assert (reply.body, reply.is_complete) == (expected, True)
+
+    support.run_scenario(scenario)
+
+
 def test_stream_goes_on_elsewhere_after_endless_bytes():
     """No byte that is not part of an event may reach the caller."""
 
