--- a/src/flamingocleat/version/formation.py
+++ b/src/flamingocleat/version/formation.py
@@ -117,9 +117,10 @@
 ) -> tuple[catalog_module.Model, Hosts] | None:
     """Return the model and VMs of the group to form next, or None.
 
-    A model with ample capacity gets no VM that one with too little could use,
-    even if that one cannot form a group yet: it may be about to get the VMs of
-    groups that are being closed for it.
+    A model with ample capacity gets no VM that one with too little, or with
+    too few groups, could use. That holds even if the other one cannot form a
+    group yet: further VMs may become free, such as those of groups that are
+    being closed for it.
 
     Args:
         engine: Engine of the service.
@@ -137,14 +138,20 @@
             each.name,
         ),
     )
+    wanting = short_models | {
+        model.name
+        for model in engine.models
+        if groups[model.name] < planned[model.name]
+    }
     for model in by_load:
-        is_missing = groups[model.name] < planned[model.name]
         hosts = _in_one_domain(
             model,
             idle,
-            flexible=is_missing or model.name in short_models,
+            flexible=model.name in wanting,
             reserved_for=(
-                short_models if model.name in ample_models else frozenset()
+                wanting - {model.name}
+                if model.name in ample_models
+                else frozenset()
             ),
         )
         if not hosts and model.name in short_models and not groups[model.name]:
