--- a/src/flamingocleat/version/formation.py
+++ b/src/flamingocleat/version/formation.py
@@ -117,10 +117,9 @@
 ) -> tuple[catalog_module.Model, Hosts] | None:
     """Return the model and VMs of the group to form next, or None.
 
-    A model with ample capacity gets no VM that one with too little, or with
-    too few groups, could use. That holds even if the other one cannot form a
-    group yet: further VMs may become free, such as those of groups that are
-    being closed for it.
+    A model with ample capacity gets no VM that one with too little could use,
+    even if that one cannot form a group yet: it may be about to get the VMs of
+    groups that are being closed for it.
 
     Args:
         engine: Engine of the service.
@@ -138,20 +137,14 @@
             each.name,
         ),
     )
-    wanting = short_models | {
-        model.name
-        for model in engine.models
-        if groups[model.name] < planned[model.name]
-    }
     for model in by_load:
+        is_missing = groups[model.name] < planned[model.name]
         hosts = _in_one_domain(
             model,
             idle,
-            flexible=model.name in wanting,
+            flexible=is_missing or model.name in short_models,
             reserved_for=(
-                wanting - {model.name}
-                if model.name in ample_models
-                else frozenset()
+                short_models if model.name in ample_models else frozenset()
             ),
         )
         if not hosts and model.name in short_models and not groups[model.name]:
--- a/tests/direct/test_weights.py
+++ b/tests/direct/test_weights.py
@@ -279,29 +279,6 @@
     assert chosen[0].name == "large"
 
 
-def test_further_group_leaves_vms_to_a_model_with_too_few(simulation):
-    """Spares of one model formed a fourth group of it, as the layout has three.
-
-    The other model had one group, with few requests at that moment.
-    """
-    spares = [
-        vm
-        for vm in simulation.vms.values()
-        if vm.serves_no_group() and vm.domain == "domain-0"
-    ]
-    for vm in spares:
-        vm.model = "small"
-        vm.staged = ("large",)
-        simulation.announce(vm)
-    hosts = [simulation.fleet.backends[vm.backend] for vm in spares]
-    idle = formation.IdleVms(ENGINE.models, hosts)
-    counts = {"large": 1, "small": 3}, {"large": 3, "small": 3}
-    assert formation.choose(ENGINE, idle, *counts, set(), {"small"}) is None
-    found = formation.choose(ENGINE, idle, *counts, set(), set())
-    assert found is not None
-    assert found[0].name == "small"
-
-
 def test_vms_are_kept_for_a_group_that_cannot_form_yet(simulation):
     """Fewer idle VMs than a group of the short model needs must stay idle."""
     for vm in simulation.vms.values():
