Join only what continues a caller's stream, and send a call once to a server

Callers of the gateway saw, with scripted servers: a stream that broke off after event 3 ended as complete when the next server's answer had no event, only old events, events 7 to 10, or another content type; a new stream without an event was an empty 200; the text or head of an error within a stream that may not be resumed was passed on as an event; a call that may run once was sent three times to the one server that had refused it, which could write that refusal again while it ran the call.

Cause: nothing compared a server's answer with what the caller had, lines of events were not checked for being fields, and the fallback to a server that had failed did not ask whether the call may run twice.

Change: request/continuation.py decides which events continue a stream, without a network. Names of fields are checked; once an event had an id, all need one. A call that may run once is not sent to a server again.

--- a/src/flamingocleat/request/events.py
+++ b/src/flamingocleat/request/events.py
@@ -12,6 +12,10 @@
 """Consecutive blocks without a field after which the bytes are no answer."""
 
 _BLOCK_END = re.compile(rb"\r?\n\r?\n")
+_FIELD_NAME = re.compile(
+    rb"[A-Za-z0-9_-]{0,%d}(?::|\r?\Z)" % (MAX_FIELD_NAME_BYTES - 1)
+)
+"""The start of a line up to its colon, or a line that has none yet."""
 _MAX_END_BYTES = 4
 
 
@@ -28,7 +32,8 @@
 class EventParser:
     """Splits bytes into complete events and buffers an incomplete one.
 
-    Ids of events, where they are numeric, must increase.
+    Ids of events, where they are numeric, must increase, and each event must
+    have one if an earlier event has.
     """
 
     def __init__(self, *, needs_ids: bool = False) -> None:
@@ -70,7 +75,7 @@
         self.empty_blocks = 0
         number = _number(lines)
         if number is None:
-            if self.needs_ids:
+            if self.needs_ids or self.last_number >= 0:
                 raise ValueError("an event has no id")
         elif number <= self.last_number:
             raise ValueError(f"event {number} follows {self.last_number}")
@@ -81,9 +86,7 @@
 
 def _check_line(line: bytes) -> None:
     """Raise ValueError unless a line, or its start, may be a field."""
-    if b":" in line[:MAX_FIELD_NAME_BYTES]:
-        return
-    if len(line) >= MAX_FIELD_NAME_BYTES:
+    if not _FIELD_NAME.match(line):
         raise ValueError("a line is no field of an event")
 
 
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -21,6 +21,7 @@
 from flamingocleat.process import logs
 from flamingocleat.request import admission as admission_module
 from flamingocleat.request import budget as budget_module
+from flamingocleat.request import continuation
 from flamingocleat.request import events
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog
@@ -151,6 +152,7 @@
         )
         self.sent = 0
         """Number of times that the request was sent to a server."""
+        self.sent_to: set[ids.BackendId] = set()
         self.may_have_run = False
         self.backend = ids.BackendId("")
         """The server that was chosen last."""
@@ -168,6 +170,14 @@
         """Whether it may be retried elsewhere after the next attempt."""
         return self.is_repeatable and self.sent + 1 < self.route.max_attempts
 
+    @property
+    def excluded(self) -> frozenset[ids.BackendId]:
+        """Servers that must not get the request once more.
+
+        A faulty server may repeat its refusal while it runs the request.
+        """
+        return frozenset() if self.is_repeatable else frozenset(self.sent_to)
+
     def remaining_s(self) -> float:
         """Return the time until the deadline."""
         return self.deadline_s - time.monotonic()
@@ -301,7 +311,7 @@
         except admission_module.NoCapacityError as error:
             if tried and not resuming:
                 # Retrying on a server that failed is better than giving up.
-                found = self.admission.try_place(demand)
+                found = self.admission.try_place(demand, call.excluded)
                 if found is not None:
                     return found
             if call.may_have_run:
@@ -321,7 +331,10 @@
             if call.remaining_s() < MIN_REMAINING_S:
                 raise AttemptError(Failure.NOT_SENT, "no time is left")
             call.sent += 1
-            headers = self._headers(call, candidate, stream.last_event_id)
+            call.sent_to.add(call.backend)
+            headers = self._headers(
+                call, candidate, stream.received.last_event_id
+            )
             client.send(
                 call.exchange.method,
                 call.exchange.target,
@@ -575,8 +588,7 @@
     def __init__(self, call: Call, forwarder: Forwarder) -> None:
         self.call = call
         self.forwarder = forwarder
-        self.last_event_id = call.last_event_id
-        """Id of the last event that was sent to the caller."""
+        self.received = continuation.ReceivedEvents(call.last_event_id)
 
     async def relay(self, attempt: Attempt, client: http.Client) -> None:
         """Forward events until the stream ends; raise if it breaks."""
@@ -586,6 +598,21 @@
         if answer.status != 200:
             await self._send_failure(answer, await _read_failure(client))
             return
+        try:
+            await self._relay_events(attempt, client, answer)
+        except continuation.DiscontinuityError as error:
+            raise AttemptError(Failure.UNKNOWN, str(error)) from error
+        if not self.call.exchange.started:
+            self.call.exchange.start(200, forwarded_headers(answer.headers))
+        await self.call.exchange.finish()
+        attempt.candidate.mark_succeeded()
+        self.forwarder.record_answer(self.call, 200, "answered")
+
+    async def _relay_events(
+        self, attempt: Attempt, client: http.Client, answer: http.Answer
+    ) -> None:
+        content_type = answer.header(b"content-type")
+        self.received.begin_answer(content_type)
         parser = events.EventParser(needs_ids=self.call.route.resumable)
         while data := await client.read():
             try:
@@ -595,14 +622,10 @@
             if any(event.has_fields for event in found):
                 attempt.candidate.mark_alive(time.monotonic())
                 attempt.writing = True
-            await self._send(answer, found)
+            await self._send(answer, self.received.add(found, content_type))
         if parser.buffer:
             raise http.BrokenAnswerError("the stream ends within an event")
-        if not self.call.exchange.started:
-            self.call.exchange.start(200, forwarded_headers(answer.headers))
-        await self.call.exchange.finish()
-        attempt.candidate.mark_succeeded()
-        self.forwarder.record_answer(self.call, 200, "answered")
+        self.received.end_answer()
 
     async def _send_failure(self, answer: http.Answer, body: bytes) -> None:
         if self.call.exchange.started:
@@ -616,32 +639,16 @@
         await self.forwarder.send_answer(self.call, answer, body)
 
     async def _send(
-        self, answer: http.Answer, found: list[events.Event]
+        self, answer: http.Answer, unsent: list[events.Event]
     ) -> None:
         exchange = self.call.exchange
-        unsent = [event for event in found if self._is_unsent(event)]
         if not unsent:
             return
         if not exchange.started:
             self.forwarder.record_first_byte(self.call)
             exchange.start(200, forwarded_headers(answer.headers))
-        numbers = [e.number for e in unsent if e.number is not None]
-        if numbers:
-            self.last_event_id = str(numbers[-1])
         await exchange.send(b"".join(event.data for event in unsent))
 
-    def _is_unsent(self, event: events.Event) -> bool:
-        """Return whether the event has to be sent to the caller.
-
-        Comments are sent once the answer has begun: before, it may still turn
-        out to be none.
-        """
-        if not event.has_fields:
-            return self.call.exchange.started
-        if event.number is None or not self.last_event_id.isdigit():
-            return True
-        return event.number > int(self.last_event_id)
-
 
 async def _read_failure(client: http.Client) -> bytes:
     """Return the body of a stream's failure; raise BrokenAnswerError."""
--- a/tests/direct/support.py
+++ b/tests/direct/support.py
@@ -46,6 +46,7 @@
     routes=(
         route("read", catalog.CallKind.IDEMPOTENT),
         route("once", catalog.CallKind.ONCE, max_attempts=1),
+        route("many", catalog.CallKind.ONCE, max_attempts=3),
         route("stream", catalog.CallKind.STREAM, resumable=True),
         route("fixed", catalog.CallKind.STREAM),
         route("open", catalog.CallKind.IDEMPOTENT, anonymous=True),
