Take no cut head for an answer, and no error for events, in agents and entries

Callers of an entry saw: a success, a failure or 'not run, try again' from an answer whose head was cut, where what was left said 204 or Content-Length: 0 or had the agent's outcome; an error that was sent as events in the middle of a stream that had broken off, or as a 200 if it was the first answer; a page or an error's head within a stream.

Cause: the standard library takes the end of a connection for the end of a head. An entry looked at the content type of an answer, not at its status, and did not check that a stream's lines are fields.

Change: connections to servers and agents reject a head that ends without its empty line. A stream needs status 200. Its lines have to be fields or comments, and a block without data may only have the fields of an event.

--- a/src/flamingocleat/connection/bounded.py
+++ b/src/flamingocleat/connection/bounded.py
@@ -5,6 +5,8 @@
 of bytes apply to all reads of an answer together.
 """
 
+import http.client
+import io
 import socket
 import time
 import typing
@@ -75,7 +77,56 @@
             self.settimeout(remaining_s)
 
 
-class _Connection(urllib3.connection.HTTPConnection):
+class CutHeadError(http.client.HTTPException):
+    """A server closed the connection within the head of its answer."""
+
+
+class _HeadReader:
+    """Reads the lines of a head; rejects one that is cut.
+
+    The standard library takes the end of the connection for the end of the
+    head.
+    """
+
+    def __init__(self, file: io.BufferedReader) -> None:
+        self.file = file
+        self.has_begun = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line; raise CutHeadError."""
+        line = self.file.readline(limit)
+        is_whole = line.endswith(b"\n") or len(line) == limit
+        if not is_whole and (line or self.has_begun):
+            raise CutHeadError("the answer's head is cut")
+        self.has_begun = True
+        return line
+
+    def close(self) -> None:
+        """Close the connection's file."""
+        self.file.close()
+
+
+class _Response(http.client.HTTPResponse):
+    """Answer whose head has to be complete."""
+
+    def begin(self) -> None:
+        """Read the head; raise CutHeadError."""
+        file = self.fp
+        self.fp = typing.cast(io.BufferedReader, _HeadReader(file))
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:
+                self.fp = file
+
+
+class Connection(urllib3.connection.HTTPConnection):
+    """Connection that does not take a head that is cut for an answer."""
+
+    response_class = _Response
+
+
+class _BoundedConnection(Connection):
     """Connection whose answers are bounded in time and size."""
 
     def __init__(
@@ -116,7 +167,7 @@
         max_answer_bytes: Size limit of an answer's body.
     """
 
-    ConnectionCls = _Connection
+    ConnectionCls = _BoundedConnection
 
     def __init__(
         self, url: str, timeout_s: float, max_answer_bytes: int
--- a/src/flamingocleat/request/attempt.py
+++ b/src/flamingocleat/request/attempt.py
@@ -12,7 +12,6 @@
 
 import prometheus_client
 import urllib3
-import urllib3.connection
 import urllib3.exceptions
 
 from flamingocleat import errors
@@ -374,11 +373,11 @@
     entry_settings: settings.EntrySettings,
     call: call_module.Call,
     candidate: routing.Candidate,
-) -> urllib3.connection.HTTPConnection:
+) -> bounded.Connection:
     """Open a new connection, so that none that has gone silent is reused."""
     host, _, port = candidate.view.data_address.rpartition(":")
     bound_s = min(entry_settings.connect_timeout_s, call.remaining_s())
-    connection = urllib3.connection.HTTPConnection(
+    connection = bounded.Connection(
         host,
         int(port),
         timeout=max(0.001, bound_s),
--- a/src/flamingocleat/request/dispatch.py
+++ b/src/flamingocleat/request/dispatch.py
@@ -19,7 +19,6 @@
 
 import msgspec
 import urllib3
-import urllib3.connection
 import urllib3.exceptions
 
 from flamingocleat import errors
@@ -112,7 +111,7 @@
         self.name = f"{headers.request_id}/{attempt}"
         self.deadline_s = time.monotonic() + headers.deadline_ms / 1000
         self.caller: socket.socket | None = environ.get(SOCKET_KEY)
-        self.connection: urllib3.connection.HTTPConnection | None = None
+        self.connection: bounded.Connection | None = None
         self.socket: bounded.BoundedSocket | None = None
         self.sent = False
         """Whether bytes may have been sent to the backend server."""
@@ -249,7 +248,7 @@
     def _send(self, call: Call) -> http.client.HTTPResponse:
         body = _body(call.environ)
         self._check(call)
-        connection = urllib3.connection.HTTPConnection(
+        connection = bounded.Connection(
             self.host, self.port, timeout=_CONNECT_TIMEOUT_S
         )
         call.connection = connection
--- a/src/flamingocleat/request/relay.py
+++ b/src/flamingocleat/request/relay.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import re
 import socket
 import time
 import typing
@@ -30,6 +31,10 @@
 _EVENT_END = b"\n\n"
 _DATA_FIELD = b"data:"
 _FINAL_EVENT = b"data: [DONE]\n\n"
+_LINES = re.compile(rb"(?:[A-Za-z0-9_-]*+(?::[^\n]*+)?+\n)*+")
+"""Lines of events: fields, comments and the empty lines after events."""
+_WITHOUT_DATA = re.compile(rb"(?:(?:|event|id|retry):[^\n]*+\n?|\n)*+")
+"""Lines of a block that has no data field."""
 
 _log = logs.logger("relay")
 
@@ -122,6 +127,8 @@
         if end >= 0 and (not end or data[end - 1 : end] == b"\n"):
             data = data[: end + len(_FINAL_EVENT)]
             self.done = True
+        if not _LINES.fullmatch(data):
+            raise connection_error("bytes are no event")
         blocks = data.count(_EVENT_END)
         if data.count(_DATA_FIELD) < blocks:
             self._count_empty_blocks(data)
@@ -135,6 +142,8 @@
             self.empty_blocks += 1
             if _DATA_FIELD in block:
                 self.empty_blocks = 0
+            elif not _WITHOUT_DATA.fullmatch(block):
+                raise connection_error("an event has no data")
             if self.empty_blocks > MAX_EMPTY_BLOCKS:
                 raise connection_error("too many blocks without data")
 
@@ -195,7 +204,9 @@
 
         An answer that is not a stream is returned as a whole.
         """
-        if not reply.content_type.startswith("text/event-stream"):
+        if reply.status != 200 or not reply.content_type.startswith(
+            "text/event-stream"
+        ):
             if self.delivered:
                 raise connection_error(f"resumption gave status {reply.status}")
             with contextlib.closing(reply):
--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -301,10 +301,18 @@
 
 
 class CannedServer:
-    """Answers each connection with the same bytes, then closes it."""
+    """Answers each connection with the same bytes, then closes it.
 
-    def __init__(self, answer: bytes) -> None:
+    Requests whose line contains one of the given texts get that answer.
+    """
+
+    def __init__(
+        self,
+        answer: bytes,
+        others: collections.abc.Mapping[bytes, bytes] | None = None,
+    ) -> None:
         self.answer = answer
+        self.others = others or {}
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.thread = threading.Thread(target=self._run)
@@ -314,9 +322,17 @@
         while True:
             connection, _ = self.listener.accept()
             with connection:
-                if not connection.recv(65_536):
+                request = connection.recv(65_536)
+                if not request:
                     return
-                connection.sendall(self.answer)
+                connection.sendall(self._answer(request))
+
+    def _answer(self, request: bytes) -> bytes:
+        line = request.partition(b"\r\n")[0]
+        for text, answer in self.others.items():
+            if text in line:
+                return answer
+        return self.answer
 
     def stop(self) -> None:
         """Stop answering."""
@@ -326,6 +342,12 @@
         self.listener.close()
 
 
+def short_answer(body: bytes, status: int = 200) -> bytes:
+    """Return a complete answer."""
+    head = b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n"
+    return head % (status, len(body)) + body
+
+
 def _listens(address: str) -> bool:
     host, port = address.split(":")
     try:
