--- a/tests/direct/test_voters.py
+++ b/tests/direct/test_voters.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import json
+import random
 import shutil
+import socket
+import struct
 
 import pytest
 
@@ -339,3 +342,51 @@
         await cluster.put(2)
 
     run_scenario(tmp_path, scenario)
+
+
+RESETS = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+
+
+def _reset_connections(share: float, generator: random.Random) -> int:
+    """Reset a share of the open connections; return their number."""
+    count = 0
+    transports = asyncio.get_running_loop()._transports
+    for transport in list(transports.values()):
+        sock = transport.get_extra_info("socket")
+        if not transport.is_closing() and generator.random() < share:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+            transport.abort()
+            count += 1
+    return count
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_reset_connections_lose_nothing_acknowledged(tmp_path, seed):
+    """Connections of voters and their callers are reset while they write."""
+    generator = random.Random(seed)
+
+    async def scenario(cluster):
+        sent = 0
+        resets = 0
+        await cluster.put(sent)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 4.0
+        while loop.time() < end_s:
+            sent += generator.randint(1, 3)
+            write = asyncio.create_task(cluster.put(sent))
+            while not write.done():
+                await asyncio.sleep(generator.uniform(0.0, 0.02))
+                share = generator.choice((0.1, 0.3, 1.0))
+                if generator.random() < 0.3:
+                    resets += _reset_connections(share, generator)
+            await write
+            assert await cluster.get() == sent
+        assert resets > 20
+        for number in (1, 2, 3):
+            await cluster.stop(number)
+        for number in (1, 2, 3):
+            await cluster.start(number, bootstrap=False)
+        assert await cluster.get() == sent
+
+    run_scenario(tmp_path, scenario)
