--- a/src/flamingocleat/process/control.py
+++ b/src/flamingocleat/process/control.py
@@ -401,7 +401,12 @@
 
 async def _run(settings: settings_module.ControlSettings) -> int:
     storage = storage_module.Storage.open(settings.data_folder)
-    return await Control(settings, storage).run()
+    try:
+        control = Control(settings, storage)
+    except BaseException:
+        storage.close()
+        raise
+    return await control.run()
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/src/flamingocleat/process/storage.py
+++ b/src/flamingocleat/process/storage.py
@@ -97,7 +97,11 @@
         self.end = 0
         log_start = self._read_log()
         self.file = _open_log(self.folder)
-        self._finish_compaction(log_start)
+        try:
+            self._finish_compaction(log_start)
+        except BaseException:
+            self.file.close()
+            raise
 
     @classmethod
     def create(cls, folder: str, voter: ids.VoterId) -> "Storage":
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -117,6 +117,7 @@
     def stop(self) -> None:
         async def close() -> None:
             self.server.close()
+            await self.server.wait_closed()
 
         self.loop.run(close())
 
@@ -301,7 +302,17 @@
         self.grpc_server = GrpcServer(
             loop, {codec.BACKEND_WATCH: self.watch, codec.VOID: self.void}
         )
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.thread = threading.Thread(target=self._accept, daemon=True)
+        self.thread.start()
+
+    def close(self) -> None:
+        """Stop accepting calls and close the servers."""
+        with contextlib.suppress(OSError):
+            # close() alone would leave the socket open while the thread waits.
+            self.http.shutdown(socket.SHUT_RDWR)
+        self.thread.join()
+        self.http.close()
+        self.grpc_server.stop()
 
     def view(self) -> messages.BackendView:
         port = self.http.getsockname()[1]
@@ -493,10 +504,16 @@
 
     def __init__(self) -> None:
         self.loop = LoopThread()
-        self.control = FakeControl(self.loop)
+        self.controls: list[FakeControl] = []
+        self.control = self.start_control()
         self.programs: list[Program] = []
         self.agents: list[FakeAgent] = []
 
+    def start_control(self, hint: str = "") -> FakeControl:
+        control = FakeControl(self.loop, hint)
+        self.controls.append(control)
+        return control
+
     def add_agent(
         self, name: str, script: Script, service: str = "llm"
     ) -> FakeAgent:
@@ -516,5 +533,7 @@
         for program in self.programs:
             program.close()
         for agent in self.agents:
-            agent.http.close()
+            agent.close()
+        for control in self.controls:
+            control.grpc_server.stop()
         self.loop.close()
--- a/tests/system/forwarder.py
+++ b/tests/system/forwarder.py
@@ -47,6 +47,7 @@
     def close(self) -> None:
         """Close all connections and stop the thread."""
         self._run_in_loop(self._close_all)
+        self.loop.call_soon_threadsafe(self.server.close)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(10.0)
 
@@ -70,14 +71,21 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
-        server = self.loop.run_until_complete(
+        self.server = self.loop.run_until_complete(
             asyncio.start_server(self._accept, "127.0.0.1", 0)
         )
-        port = server.sockets[0].getsockname()[1]
+        port = self.server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
         self.started.set()
         self.loop.run_forever()
-        server.close()
+        self.loop.run_until_complete(self._end_tasks())
+        self.loop.close()
+
+    async def _end_tasks(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _accept(self, reader, writer) -> None:
         if self.refuse_new:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -378,7 +378,7 @@
     The entry loses its leader and follows a node with an older version.
     """
     deployment.add_agent("g/0", fakes.send_events)
-    older = fakes.FakeControl(deployment.loop)
+    older = deployment.start_control()
     deployment.control.version, older.version = 5, 3
     addresses = (
         deployment.control.grpc_server.address,
@@ -404,9 +404,7 @@
     The follower refuses the watch and names the leader's address.
     """
     deployment.add_agent("g/0", fakes.send_events)
-    follower = fakes.FakeControl(
-        deployment.loop, deployment.control.grpc_server.address
-    )
+    follower = deployment.start_control(deployment.control.grpc_server.address)
     program = deployment.start_program(control=(follower.grpc_server.address,))
     assert program.request(body=fakes.completion())[0] == 200
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -161,6 +161,8 @@
         assert len(accepted) == 2
         caller.close()
         proxy.close()
+        for writer in accepted:
+            writer.close()
         await voter.stop()
 
     asyncio.run(scenario())
