Compress what control sends to gateways and voters, and their reports

Change: the bulky fields of reports and views, the catalog (compressed once for each version) and large entries of the log are sent compressed, to peers that say that they read it. An old voter takes such entries for a heartbeat and confirms none. Parts that are cut, invalid or too large fail the call.

Considered: differences between versions (needs digests and whole documents for those that miss one; saves little more, as 1,400 routes compress to 16 KB); messages as arrays instead of maps (an old gateway could read no view); fewer reports (older loads).

--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -26,6 +26,7 @@
 from flamingocleat.connection import codec
 from flamingocleat.connection import duplex
 from flamingocleat.connection import grpc_errors
+from flamingocleat.connection import packing
 from flamingocleat.process import logs
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import routing
@@ -119,6 +120,8 @@
         self.totals: dict[ids.BackendId, tuple[int, int]] = {}
         """Requests in flight and unread tokens per head, over all gateways."""
         self.index: _BackendIndex | None = None
+        self.packed_catalog: tuple[int, bytes] = (-1, b"")
+        """Version of a catalog, and the catalog as gateways receive it."""
 
     def in_flight(self) -> dict[ids.BackendId, int]:
         """Return the requests in flight at each head, over all gateways."""
@@ -148,6 +151,7 @@
             first = await stream.recv_message()
         if first is None:
             return
+        first = packing.unpack_report(first)
         subscription = _Subscription(first)
         old = self.subscriptions.get(first.gateway)
         if old is not None:
@@ -184,6 +188,7 @@
                 report = await stream.recv_message()
             if report is None:
                 return
+            report = packing.unpack_report(report)
             if self.subscriptions.get(report.gateway) is subscription:
                 self._count(subscription.report, -1)
                 self._count(report, 1)
@@ -198,6 +203,8 @@
             await duplex.wait_event(subscription.changed, period_s)
             view = self._view(subscription)
             if view is not None:
+                if subscription.report.reads_packed:
+                    view = self._pack(view)
                 await stream.send_message(view)
             await asyncio.sleep(self._coalesce_s())
 
@@ -251,8 +258,22 @@
             load=self._other_load(subscription),
             gateways=len(self.subscriptions),
             voters=state.voters,
+            reads_packed=True,
         )
 
+    def _pack(self, view: messages.GatewayView) -> messages.GatewayView:
+        """Return a view with compressed parts."""
+        if view.catalog is not None:
+            if self.packed_catalog[0] != view.version:
+                self.packed_catalog = (
+                    view.version,
+                    packing.pack(view.catalog),
+                )
+            view = msgspec.structs.replace(
+                view, catalog=None, packed_catalog=self.packed_catalog[1]
+            )
+        return packing.pack_view(view)
+
     def _assigned(
         self, subscription: _Subscription, state: FleetState
     ) -> _BackendMap | None:
@@ -380,6 +401,7 @@
         self.gateways = 1
         """Gateways known to the leader, which determine the interval."""
         self.term = 0
+        self.leader_reads_packed = False
         self.sequence = itertools.count(1)
         self.report_now = asyncio.Event()
         """Set to send a report to the leader without delay."""
@@ -407,6 +429,7 @@
         hint = ""
         grpc_channel = channel.dial(address)
         heard_s = self.heard_s
+        self.leader_reads_packed = False
         try:
             await duplex.run_in_task(self._follow(grpc_channel))
         except grpclib.GRPCError as error:
@@ -444,6 +467,8 @@
                 if view is None:
                     await stream.recv_trailing_metadata()
                     return
+            view = packing.unpack_view(view)
+            self.leader_reads_packed = view.reads_packed
             if view.term < self.term:
                 raise errors.ProtocolError(
                     f"the leader's term {view.term} is older than {self.term}"
@@ -460,4 +485,9 @@
             await self._send(stream)
 
     async def _send(self, stream: typing.Any) -> None:
-        await stream.send_message(self.report(next(self.sequence)))
+        report = msgspec.structs.replace(
+            self.report(next(self.sequence)), reads_packed=True
+        )
+        if self.leader_reads_packed:
+            report = packing.pack_report(report)
+        await stream.send_message(report)
--- a/src/flamingocleat/connection/peer.py
+++ b/src/flamingocleat/connection/peer.py
@@ -14,6 +14,7 @@
 from flamingocleat import messages
 from flamingocleat.connection import channel
 from flamingocleat.connection import codec
+from flamingocleat.connection import packing
 from flamingocleat.process import logs
 
 if typing.TYPE_CHECKING:
@@ -65,7 +66,8 @@
     ) -> typing.Any:
         """Make a call; raise OSError, TimeoutError or GRPCError."""
         is_bulk = isinstance(request, messages.SnapshotRequest) or bool(
-            isinstance(request, messages.AppendRequest) and request.entries
+            isinstance(request, messages.AppendRequest)
+            and (request.entries or request.packed_entries)
         )
         key = (address, is_bulk)
         if key not in self.channels:
@@ -126,6 +128,8 @@
         self.entries_added = asyncio.Event()
         self.round_begun = asyncio.Event()
         self.failing = False
+        self.reads_packed = False
+        """Whether the voter reads compressed entries, by its last reply."""
 
     async def run(self) -> None:
         """Send heartbeats and entries until cancelled."""
@@ -200,11 +204,14 @@
             entries=batch,
             commit_index=self.consensus.commit_index,
         )
+        if self.reads_packed:
+            request = packing.pack_entries(request)
         sent_s = time.monotonic()
         confirmation_round = self.consensus.confirmation_round
         reply = await self.consensus.call(
             codec.APPEND, self.address, request, timeout_s
         )
+        self.reads_packed = reply.reads_packed
         if reply.term == self.term:
             self.contact_s = max(self.contact_s, sent_s)
             self.confirmed_round = max(self.confirmed_round, confirmation_round)
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -104,6 +104,9 @@
     previous_term: int
     entries: tuple[LogEntry, ...]
     commit_index: int
+    packed_entries: bytes = b""
+    """Entries, compressed, in place of the others. A voter that does not read
+    them takes the request for a heartbeat and confirms no entry."""
 
 
 class AppendReply(Message, frozen=True, omit_defaults=True):
@@ -117,6 +120,8 @@
     voter: ids.VoterId
     match_index: int
     next_index: int
+    reads_packed: bool = False
+    """Whether the voter reads compressed entries."""
 
 
 class SnapshotRequest(Message, frozen=True, omit_defaults=True):
@@ -436,6 +441,17 @@
     """Callers' requests since the gateway started."""
     heads: tuple[HeadReport, ...] = ()
     demand: tuple[ModelDemand, ...] = ()
+    packed: bytes = b""
+    """A ReportBody, compressed; replaces the fields that it has."""
+    reads_packed: bool = False
+    """Whether the gateway reads compressed views."""
+
+
+class ReportBody(Message, frozen=True):
+    """The bulky fields of a GatewayReport."""
+
+    heads: tuple[HeadReport, ...] = ()
+    demand: tuple[ModelDemand, ...] = ()
 
 
 class ServedBackend(Message, frozen=True):
@@ -478,6 +494,21 @@
     gateways: int = 1
     voters: tuple[str, ...] = ()
     """Addresses of the voters, for finding a new leader later."""
+    packed: bytes = b""
+    """A ViewBody, compressed; replaces the fields that it has."""
+    packed_catalog: bytes = b""
+    """The catalog, compressed; replaces it."""
+    reads_packed: bool = False
+    """Whether the leader reads compressed reports."""
+
+
+class ViewBody(Message, frozen=True):
+    """The bulky fields of a GatewayView."""
+
+    backends: tuple[ServedBackend, ...] | None = None
+    changed: tuple[ServedBackend, ...] = ()
+    removed: tuple[ids.BackendId, ...] = ()
+    load: tuple[OtherGatewaysLoad, ...] = ()
 
 
 class JoinRequest(Message, frozen=True):
--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -20,6 +20,7 @@
 from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.connection import codec
+from flamingocleat.connection import packing
 from flamingocleat.connection import peer as peer_module
 from flamingocleat.process import log_entries
 from flamingocleat.process import logs
@@ -397,6 +398,7 @@
         self, request: messages.AppendRequest
     ) -> messages.AppendReply:
         """Handle AppendEntries: entries or a heartbeat from the leader."""
+        request = packing.unpack_entries(request)
         self._check_target(request.target)
         if not await self._accept_leader(
             request.term, request.leader, request.leader_address
@@ -479,7 +481,12 @@
         self, *, success: bool, match_index: int = 0, next_index: int = 0
     ) -> messages.AppendReply:
         return messages.AppendReply(
-            self.term, success, self.voter, match_index, next_index
+            self.term,
+            success,
+            self.voter,
+            match_index,
+            next_index,
+            reads_packed=True,
         )
 
     async def _accept_leader(
