Listen before a program is loaded, and hold callers until heads are known

Cause, by the gateways' logs: a process needs most of its start to load its modules, and until then its address refuses connections; callers retry once, and meet the same at the next gateway. A gateway that is loaded has no configuration for some 0.3 s more and answers 503 at once; with one, it knows no heads until they announce themselves, every 1.2 s, and refuses again.

Change: the start script listens for callers before it loads anything else, so that they wait in the queue of the socket. A gateway holds requests for up to 1.6 s from its start, or a third of the caller's time, until the configuration arrives, and requests whose model has no known head for as long as servers may still announce themselves. Later both are refused at once, as before. Python starts without its site module.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import socket
 import time
 import typing
 
@@ -311,10 +312,17 @@
         self.draining = False
         """True if each answer should close its connection."""
 
-    async def start(self, address: str) -> None:
-        """Listen at host:port."""
-        host, _, port = address.rpartition(":")
+    async def start(
+        self, address: str, listener: socket.socket | None = None
+    ) -> None:
+        """Listen at host:port, or at a socket that already listens."""
         loop = asyncio.get_running_loop()
+        if listener is not None:
+            self.listener = await loop.create_server(
+                lambda: Connection(self), sock=listener, backlog=BACKLOG
+            )
+            return
+        host, _, port = address.rpartition(":")
         self.listener = await loop.create_server(
             lambda: Connection(self), host, int(port), backlog=BACKLOG
         )
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import socket
 import time
 
 import prometheus_client
@@ -47,7 +48,10 @@
             [], settings_module.GatewaySettings
         ],
         header_names: forward.HeaderNames,
+        listener: socket.socket | None = None,
     ) -> None:
+        self.listener = listener
+        """A socket that already listens for callers, or None."""
         self.read_settings = read_settings
         self.settings = settings = read_settings()
         self.shutdown = shutdown_module.Shutdown()
@@ -56,6 +60,7 @@
         self.admission = admission.Admission(
             settings.data_centre, self.candidates
         )
+        self.admission.knows_all_servers = lambda: self.has_settled
         self.budget = budget_module.Budget(settings.budget)
         self.forwarder = forward.Forwarder(
             header_names, self.admission, self.budget
@@ -83,7 +88,7 @@
         """Serve until shutdown is requested; return the exit status."""
         self.shutdown.install()
         self.shutdown.install_reload(self.reload)
-        await self.server.start(self.settings.listen)
+        await self.server.start(self.settings.listen, self.listener)
         if self.settings.health_listen != self.settings.listen:
             await self.health.start(self.settings.health_listen)
         if self.settings.metrics_listen:
@@ -176,7 +181,7 @@
                 held=known.catalog.version,
             )
             return
-        self.forwarder.catalog_index = catalog_module.CatalogIndex(catalog)
+        self.forwarder.apply_catalog(catalog_module.CatalogIndex(catalog))
         logs.info(_log, "catalog_applied", version=catalog.version)
 
     def _report(self, sequence: int) -> messages.GatewayReport:
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -32,6 +32,9 @@
 """Expected time until a lost group is replaced: the loss is detected within
 0.8 s, and members with the weights in memory form another group in 1.4 to
 1.9 s."""
+FIRST_SERVERS_S = 1.5
+"""Time within which servers announce themselves to a leader that has just
+started, every 1.2 s."""
 LATE_WAIT_FRACTION = 1 / 3
 """Fraction of a late request's remaining time that it may wait; a refused
 caller waits for as long before it retries."""
@@ -176,6 +179,11 @@
         self.waiting: list[_QueuedRequest] = []
         self.duration_s: dict[ServiceModel, float] = {}
         """Mean time that a request occupies its slot, by service and model."""
+        self.knows_all_servers: collections.abc.Callable[[], bool] = lambda: (
+            True
+        )
+        """Returns False while servers may exist that no leader has listed to
+        this gateway yet."""
         self.late_waits: dict[ServiceModel, LateWaitStats] = {}
         self.demand: dict[ServiceModel, DemandCount] = {}
         candidates.subscribe(self.dispatch)
@@ -263,6 +271,13 @@
         A time that is not in the future means that it may not wait.
         """
         now_s = self.clock()
+        if not self.knows_all_servers() and not self.candidates.find(
+            demand.service, demand.model
+        ):
+            return now_s + min(
+                FIRST_SERVERS_S,
+                (demand.deadline_s - now_s) * LATE_WAIT_FRACTION,
+            )
         due_s = now_s + self.expected_wait_s(demand)
         if due_s <= demand.on_time_until_s:
             until_s = demand.on_time_until_s
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -48,6 +48,8 @@
 """Time from a gateway's start until it has a configuration and knows the
 heads, if control starts at the same time. It took 1.0 to 1.3 s in final
 faults."""
+MAX_HELD = 256
+"""Bound on the requests that wait for the first configuration."""
 RETRY_AFTER_JITTER_S = 0.5
 """Range of the random delay that spreads the retries of callers that are
 refused at the same time."""
@@ -224,6 +226,9 @@
         """Returns the age of the leader's last view, for the log."""
         self.random = random.Random(seed)
         self.started_s = time.monotonic()
+        self.held = 0
+        """Requests that wait for the first configuration."""
+        self.catalog_arrived = asyncio.Event()
 
     def limits(self) -> catalog.Limits:
         """Return the limits on callers' requests."""
@@ -231,10 +236,17 @@
             return catalog.Limits()
         return self.catalog_index.catalog.limits
 
+    def apply_catalog(self, catalog_index: catalog.CatalogIndex) -> None:
+        """Use another configuration from now on."""
+        self.catalog_index = catalog_index
+        self.catalog_arrived.set()
+
     async def handle(self, exchange: http.Exchange) -> None:
         """Serve one request."""
         self.requests += 1
         try:
+            if self.catalog_index is None:
+                await self._wait_for_catalog(exchange)
             call = self._parse(exchange)
             self.budget.record_request(call.service.name)
             async with asyncio.timeout(call.remaining_s()):
@@ -244,6 +256,29 @@
         except TimeoutError:
             await self._time_out(exchange, call)
 
+    async def _wait_for_catalog(self, exchange: http.Exchange) -> None:
+        """Hold a request while the first configuration is about to arrive.
+
+        After a restart of everything it arrives within a second or two, and
+        callers may retry only once. Later than that nobody knows when it will,
+        and requests are refused at once.
+        """
+        wait_s = min(
+            self.started_s + FIRST_VIEW_S - time.monotonic(),
+            _caller_timeout_s(exchange, self.header_names)
+            * MAX_RETRY_AFTER_FRACTION,
+        )
+        if wait_s <= 0 or self.held >= MAX_HELD:
+            return
+        self.held += 1
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.catalog_arrived.wait()
+        except TimeoutError:
+            return
+        finally:
+            self.held -= 1
+
     def _parse(self, exchange: http.Exchange) -> Call:
         if self.catalog_index is None:
             raise Refusal(
--- a/tests/direct/test_admission.py
+++ b/tests/direct/test_admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -356,3 +357,53 @@
         assert len(harness.admission.demand) == admission.MAX_COUNTED_MODELS
 
     asyncio.run(run())
+
+
+def restarted_gateway() -> Harness:
+    """Return a harness whose gateway knows no server yet."""
+    harness = Harness()
+    harness.views = [
+        each.view for each in harness.candidates.by_backend.values()
+    ]
+    harness.candidates.update([])
+    harness.admission.knows_all_servers = lambda: False
+    return harness
+
+
+def test_requests_wait_for_the_first_servers_after_a_restart():
+    """Servers announce themselves within a second or two to a new leader."""
+
+    async def run():
+        harness = restarted_gateway()
+        waiting = [asyncio.create_task(harness.place()) for _ in range(3)]
+        await asyncio.sleep(0.01)
+        assert not any(task.done() for task in waiting)
+        harness.candidates.update(harness.views)
+        assert len(await asyncio.gather(*waiting)) == 3
+
+    asyncio.run(run())
+
+
+def test_wait_for_the_first_servers_ends():
+    """It takes no more than a third of the time that its caller allows."""
+
+    async def run():
+        harness = restarted_gateway()
+        began_s = time.monotonic()
+        with pytest.raises(admission.NoCapacityError):
+            await harness.place(deadline_s=harness.clock.now_s + 0.6)
+        assert 0.15 < time.monotonic() - began_s < 0.35
+
+    asyncio.run(run())
+
+
+def test_model_without_a_server_is_refused_at_once_when_all_are_known():
+    async def run():
+        harness = restarted_gateway()
+        harness.admission.knows_all_servers = lambda: True
+        began_s = time.monotonic()
+        with pytest.raises(admission.NoCapacityError):
+            await harness.place()
+        assert time.monotonic() - began_s < 0.1
+
+    asyncio.run(run())
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -3,12 +3,16 @@
 import json
 import pathlib
 import platform
+import socket
 import subprocess
 import sys
 
 import msgspec
 import pytest
 from adapter import boot
+from adapter import early
+
+from examples import local
 
 SETTINGS = {
     "node": "front-a-1",
@@ -81,3 +85,61 @@
         msgspec.json.decode(
             json.dumps({**SETTINGS, "seeds": 3}), type=boot.BootSettings
         )
+
+
+@pytest.fixture
+def boot_file(tmp_path, monkeypatch):
+    """Return a function that writes the platform's settings file."""
+
+    def write(document):
+        path = tmp_path / "boot.json"
+        path.write_text(
+            document if isinstance(document, str) else json.dumps(document)
+        )
+        monkeypatch.setenv(early.BOOT_VARIABLE, str(path))
+
+    return write
+
+
+def test_gateway_listens_before_it_is_loaded(boot_file):
+    """Callers who connect meanwhile must not be refused."""
+    address = local.free_address()
+    boot_file({**SETTINGS, "listen": {"front": address}})
+    with early.listen("gateway") as listener:
+        host, _, port = address.rpartition(":")
+        assert listener.getsockname() == (host, int(port))
+        with socket.create_connection((host, int(port)), timeout=1):
+            pass
+
+
+@pytest.mark.parametrize(
+    ("program", "document"),
+    [
+        ("coordinator", {"listen": {"front": "127.0.0.1:1"}}),
+        ("", {}),
+        ("gateway", {"listen": {}}),
+        ("gateway", {"listen": 3}),
+        ("gateway", {"listen": {"front": "nonsense"}}),
+        ("gateway", {"listen": {"front": "192.0.2.1:80"}}),
+        ("gateway", "no json"),
+    ],
+)
+def test_unusable_settings_are_left_to_the_program(
+    boot_file, program, document
+):
+    """It reports them with their field."""
+    boot_file(document)
+    assert early.listen(program) is None
+
+
+def test_listening_loads_little(tmp_path):
+    """Each module that is loaded before delays the first caller."""
+    code = "import sys; from adapter import early; print(len(sys.modules))"
+    completed = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        env={"PYTHONPATH": str(pathlib.Path(early.__file__).parents[1])},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert int(completed.stdout) < 90
