--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -390,9 +390,20 @@
             e for e in available if not e.is_avoided(now_s)
         ] or available
         return min(
-            available, key=lambda each: self._cost(each, demand), default=None
+            self._sample(available),
+            key=lambda each: self._cost(each, demand),
+            default=None,
         )
 
+    def _sample(
+        self, available: list[candidates_module.Candidate]
+    ) -> list[candidates_module.Candidate]:
+        import os
+        d = int(os.environ.get("D", "0"))
+        if not d or len(available) <= d:
+            return available
+        return self.random.sample(available, d)
+
     def try_place(
         self,
         demand: Demand,
