--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -390,20 +390,9 @@
             e for e in available if not e.is_avoided(now_s)
         ] or available
         return min(
-            self._sample(available),
-            key=lambda each: self._cost(each, demand),
-            default=None,
+            available, key=lambda each: self._cost(each, demand), default=None
         )
 
-    def _sample(
-        self, available: list[candidates_module.Candidate]
-    ) -> list[candidates_module.Candidate]:
-        import os
-        d = int(os.environ.get("D", "0"))
-        if not d or len(available) <= d:
-            return available
-        return self.random.sample(available, d)
-
     def try_place(
         self,
         demand: Demand,
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -159,28 +159,6 @@
         self.backend = ids.BackendId("")
         """The server that was chosen last."""
         self.first_byte_s: float | None = None
-        self.waited_s = 0.0
-        """Time that it waited for slots."""
-        self.last_event_s: float | None = None
-        self.longest_gap_s = 0.0
-        """Longest time between two events that were sent to the caller."""
-
-    def record_event(self) -> None:
-        """Record that an event is sent to the caller now."""
-        now_s = time.monotonic()
-        if self.last_event_s is not None:
-            gap_s = now_s - self.last_event_s
-            self.longest_gap_s = max(self.longest_gap_s, gap_s)
-        self.last_event_s = now_s
-
-    @property
-    def late_by(self) -> str:
-        """How its answer is late for its caller; empty if it is not."""
-        if (self.first_byte_s or 0.0) > self.route.objective_s:
-            return "first-byte"
-        if self.route.gap_s and self.longest_gap_s > self.route.gap_s:
-            return "gap"
-        return ""
 
     @property
     def is_repeatable(self) -> bool:
@@ -338,10 +316,8 @@
         connect_failures = 0
         stream = Stream(call, self)
         while True:
-            began_s = time.monotonic()
             candidate = await self._place(call, tried)
             placed_s = time.monotonic()
-            call.waited_s += placed_s - began_s
             call.backend = candidate.view.backend
             try:
                 await self._attempt(call, candidate, stream)
@@ -635,10 +611,7 @@
             backend=call.backend,
             version=self._version(),
             view_age_ms=round(self.view_age_s() * 1000),
-            waited_ms=round(call.waited_s * 1000),
             first_byte_ms=round((call.first_byte_s or 0) * 1000),
-            longest_gap_ms=round(call.longest_gap_s * 1000),
-            late=call.late_by,
             after_ms=round((time.monotonic() - call.exchange.arrived_s) * 1000),
             outcome=outcome,
         )
@@ -709,7 +682,6 @@
         if not exchange.started:
             self.forwarder.record_first_byte(self.call)
             exchange.start(200, forwarded_headers(answer.headers))
-        self.call.record_event()
         await exchange.send(b"".join(event.data for event in unsent))
 
 
