Log which lifetime of a server a departure ends

The lines of the DRAIN incident tell a forgotten departure from a remembered one only by what is missing before them. backend_left now names the lifetime of the message and the one that is known, and an announcement that is ignored since its lifetime has left is logged.

--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -600,7 +600,6 @@
 
     async def _handle_leave(self, call: platform_module.Leave) -> None:
         self.fleet.leave(call.backend, call.born_ms, time.monotonic())
-        logs.info(_log, "backend_left", backend=call.backend)
         raise Reply(200)
 
     async def _handle_put(self, call: platform_module.PutDocument) -> None:
--- a/src/flamingocleat/version/fleet.py
+++ b/src/flamingocleat/version/fleet.py
@@ -98,6 +98,7 @@
     def announce(self, announcement: Announcement, now_s: float) -> bool:
         """Apply an announcement; return whether it was current."""
         if (announcement.backend, announcement.born_ms) in self.tombstones:
+            self._log(announcement, "announcement_after_departure")
             return False
         known = self.backends.get(announcement.backend)
         if known is not None and _version(announcement) <= _version(
@@ -156,6 +157,13 @@
     ) -> None:
         """Remove a backend server that announces its departure."""
         known = self.backends.get(backend)
+        logs.info(
+            _log,
+            "backend_left",
+            backend=backend,
+            born_ms=born_ms,
+            known_born_ms=known.announcement.born_ms if known else None,
+        )
         if known is None:
             if born_ms is not None:
                 self.tombstones[backend, born_ms] = now_s
