Remember withdrawals of servers in the replicated state, also of unknown lifetimes

Seen by callers: calls that may run once went to a server 2.2 s after control had acknowledged that it leaves. Cause: the departure named no lifetime and the leader, newly elected, did not know the server, so nothing was remembered and an announcement that was sent before and came late made the server ready. Class: a promise kept only in the memory of one leader, and absence of knowledge taken for readiness. Change: a withdrawal (a drain or a departure) is a version up to which a server's announcements are outdated. A departure without a lifetime covers each that began before it arrived. Withdrawals are committed before they are acknowledged, held for 60 s, and loaded by a new leader; a voter of an earlier build reads the command as an outdated document. Tombstones are replaced by them.

--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -263,6 +263,9 @@
     def _on_ready(self) -> None:
         """Start leading with an empty fleet, to be filled by announcements."""
         self.fleet.clear()
+        now_s = time.monotonic()
+        for stored in self.machine.withdrawals.values():
+            self.fleet.withdraw(stored.withdrawal, now_s)
         self.managers.clear()
         self.served_backends = ()
         self._update_managers()
@@ -592,6 +595,8 @@
                 evidence.reached_s = now_s
                 evidence.silent_s = None
                 evidence.refused = False
+            if call.announcement.state is fleet_module.BackendState.DRAINING:
+                await self._store_drain(call.announcement)
         raise Reply(
             200,
             self.platform.encode_announced(self.settings.http_listen),
@@ -599,9 +604,47 @@
         )
 
     async def _handle_leave(self, call: platform_module.Leave) -> None:
-        self.fleet.leave(call.backend, call.born_ms, time.monotonic())
+        withdrawal = self.fleet.departure(
+            call.backend, call.born_ms, _unix_ms()
+        )
+        self.fleet.withdraw(withdrawal, time.monotonic())
+        await self._store_withdrawal(withdrawal)
         raise Reply(200)
 
+    async def _store_drain(
+        self, announcement: fleet_module.Announcement
+    ) -> None:
+        """Store the first announcement with which a lifetime drains."""
+        held = self.machine.withdrawals.get(announcement.backend)
+        if held and held.withdrawal.born_ms >= announcement.born_ms:
+            return
+        withdrawal = fleet_module.Withdrawal(
+            announcement.backend, announcement.born_ms, announcement.sequence
+        )
+        self.fleet.withdraw(withdrawal, time.monotonic())
+        await self._store_withdrawal(withdrawal)
+
+    async def _store_withdrawal(
+        self, withdrawal: fleet_module.Withdrawal
+    ) -> None:
+        """Store a withdrawal, which its acknowledgement promises to keep."""
+        if self.machine.holds(withdrawal):
+            return
+        stored = declared.StoredWithdrawal(withdrawal, _unix_ms())
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                await self.consensus.propose(
+                    declared.PutDocument(declared.NO_VERSION, b"", stored)
+                )
+        except (errors.FlamingocleatError, TimeoutError) as error:
+            logs.warning(
+                _log,
+                "withdrawal_unconfirmed",
+                backend=withdrawal.backend,
+                reason=repr(error),
+            )
+            raise Reply(503, b"not known to be stored\n") from error
+
     async def _handle_put(self, call: platform_module.PutDocument) -> None:
         findings = catalog_module.check(call.catalog)
         if findings:
@@ -721,6 +764,10 @@
         )
 
 
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
 def _to_served_backend(
     announcement: fleet_module.Announcement,
 ) -> messages.ServedBackend:
--- a/src/flamingocleat/version/declared.py
+++ b/src/flamingocleat/version/declared.py
@@ -1,7 +1,9 @@
 """Replicated state of a directly served deployment.
 
 It holds the document with the highest version. Unlike `machine`, which uses
-compare-and-set, it replaces any document with one of a higher version.
+compare-and-set, it replaces any document with one of a higher version. It also
+holds the withdrawals of backend servers for a time, so that a new leader knows
+which announcements are outdated.
 """
 
 import typing
@@ -9,13 +11,31 @@
 import msgspec
 
 from flamingocleat import ids
+from flamingocleat.version import fleet
+
+NO_VERSION = -1
+MAX_WITHDRAWALS = 4096
+"""Bound on the withdrawals that are held. A region of 10,000 servers has fewer
+within the time for which they are held, unless all are replaced at once."""
+
+
+class StoredWithdrawal(msgspec.Struct, frozen=True):
+    """A withdrawal and when it was stored, as Unix time in milliseconds."""
+
+    withdrawal: fleet.Withdrawal
+    stored_ms: int
 
 
 class PutDocument(msgspec.Struct, frozen=True, tag="put"):
-    """Stores a document if its version is higher than the stored one."""
+    """Stores a document if its version is higher than the stored one.
+
+    With a withdrawal it has no document: a voter of an earlier build, which
+    does not know withdrawals, then changes nothing.
+    """
 
     version: int
     document: bytes
+    withdrawal: StoredWithdrawal | None = None
 
 
 class ChangeVoters(msgspec.Struct, frozen=True, tag="voters"):
@@ -34,15 +54,18 @@
     version: int
     document: bytes
     voters: dict[ids.VoterId, str]
+    withdrawals: tuple[StoredWithdrawal, ...] = ()
 
 
 class Machine:
     """Replicated state machine; it has the same state on all voters."""
 
     def __init__(self) -> None:
-        self.version = -1
-        """Version of the document, or -1 if there is none."""
+        self.version = NO_VERSION
+        """Version of the document, or NO_VERSION if there is none."""
         self.document = b""
+        self.withdrawals: dict[ids.BackendId, StoredWithdrawal] = {}
+        """In the order in which they were stored."""
         self.voters: dict[ids.VoterId, str] = {}
 
     def encode(self, command: Command) -> bytes:
@@ -61,12 +84,34 @@
         """Apply a command; return whether it changed the document."""
         if isinstance(command, ChangeVoters):
             return False
+        if command.withdrawal is not None:
+            self._store_withdrawal(command.withdrawal)
         if command.version <= self.version:
             return False
         self.version = command.version
         self.document = command.document
         return True
 
+    def holds(self, withdrawal: fleet.Withdrawal) -> bool:
+        """Return whether this withdrawal, or a later one, is stored."""
+        held = self.withdrawals.get(withdrawal.backend)
+        return (
+            held is not None and held.withdrawal.version >= withdrawal.version
+        )
+
+    def _store_withdrawal(self, stored: StoredWithdrawal) -> None:
+        if self.holds(stored.withdrawal):
+            return
+        self.withdrawals.pop(stored.withdrawal.backend, None)
+        self.withdrawals[stored.withdrawal.backend] = stored
+        since_ms = stored.stored_ms - fleet.WITHDRAWAL_S * 1000
+        kept = [
+            each
+            for each in self.withdrawals.values()
+            if each.stored_ms > since_ms
+        ][-MAX_WITHDRAWALS:]
+        self.withdrawals = {each.withdrawal.backend: each for each in kept}
+
     def voters_after(
         self, command: typing.Any
     ) -> dict[ids.VoterId, str] | None:
@@ -77,7 +122,14 @@
 
     def snapshot(self) -> bytes:
         """Return the state as bytes."""
-        return _encoder.encode(_State(self.version, self.document, self.voters))
+        return _encoder.encode(
+            _State(
+                self.version,
+                self.document,
+                self.voters,
+                tuple(self.withdrawals.values()),
+            )
+        )
 
     def restore(self, data: bytes) -> None:
         """Replace the state with that of a snapshot."""
@@ -85,3 +137,6 @@
         self.version = state.version
         self.document = state.document
         self.voters = dict(state.voters)
+        self.withdrawals = {
+            each.withdrawal.backend: each for each in state.withdrawals
+        }
--- a/src/flamingocleat/version/fleet.py
+++ b/src/flamingocleat/version/fleet.py
@@ -13,9 +13,11 @@
 
 _log = logs.logger("fleet")
 
-TOMBSTONE_S = 60.0
-"""How long a lifetime is remembered after it left; announcements delayed by a
-partition may arrive after its end."""
+WITHDRAWAL_S = 60.0
+"""How long a withdrawal is remembered; announcements delayed by a partition may
+arrive after the server's end."""
+FINAL_SEQUENCE = 2**63 - 1
+"""Follows each sequence number of a lifetime that has ended."""
 
 
 class BackendState(enum.Enum):
@@ -65,6 +67,25 @@
     group: GroupReport | None = None
 
 
+class Withdrawal(msgspec.Struct, frozen=True):
+    """A backend server drains or has left.
+
+    Its announcements up to this version are outdated, in whatever order they
+    arrive and whichever voter leads.
+    """
+
+    backend: ids.BackendId
+    born_ms: int
+    """Start of the lifetime as Unix time; earlier ones have ended."""
+    sequence: int
+    """FINAL_SEQUENCE if the lifetime itself has ended."""
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """The version up to which announcements are outdated."""
+        return self.born_ms, self.sequence
+
+
 class Backend(msgspec.Struct):
     """A backend server in its current lifetime.
 
@@ -90,15 +111,16 @@
         self.backends: dict[ids.BackendId, Backend] = {}
         self.at_address: dict[str, set[ids.BackendId]] = {}
         """Backend servers that announce an address."""
-        self.tombstones: dict[tuple[ids.BackendId, int], float] = {}
+        self.withdrawals: dict[ids.BackendId, tuple[Withdrawal, float]] = {}
+        """The last withdrawal of each server, and when it was received."""
         self.superseded: set[ids.BackendId] = set()
         """Servers that have ended: a later lifetime took over their address."""
         self.listeners: list[collections.abc.Callable[[], None]] = []
 
     def announce(self, announcement: Announcement, now_s: float) -> bool:
         """Apply an announcement; return whether it was current."""
-        if (announcement.backend, announcement.born_ms) in self.tombstones:
-            self._log(announcement, "announcement_after_departure")
+        if self._is_withdrawn(announcement):
+            self._log(announcement, "announcement_after_withdrawal")
             return False
         known = self.backends.get(announcement.backend)
         if known is not None and _version(announcement) <= _version(
@@ -116,8 +138,11 @@
         ):
             return False
         for other in rivals:
-            self._remove(other.announcement, now_s)
-            self.superseded.add(other.announcement.backend)
+            ended = other.announcement
+            self.withdraw(
+                Withdrawal(ended.backend, ended.born_ms, FINAL_SEQUENCE), now_s
+            )
+            self.superseded.add(ended.backend)
         same_lifetime = (
             known is not None
             and known.announcement.born_ms == announcement.born_ms
@@ -152,26 +177,47 @@
             self._notify()
         return True
 
-    def leave(
-        self, backend: ids.BackendId, born_ms: int | None, now_s: float
-    ) -> None:
-        """Remove a backend server that announces its departure."""
+    def departure(
+        self, backend: ids.BackendId, born_ms: int | None, now_ms: int
+    ) -> Withdrawal:
+        """Return the withdrawal of a server that announces its departure.
+
+        Args:
+            backend: The server.
+            born_ms: The lifetime that ends. If None, each lifetime that began
+                before now ends, also one that is not known here.
+            now_ms: Current Unix time.
+        """
         known = self.backends.get(backend)
+        known_ms = known.announcement.born_ms if known else None
         logs.info(
             _log,
             "backend_left",
             backend=backend,
             born_ms=born_ms,
-            known_born_ms=known.announcement.born_ms if known else None,
+            known_born_ms=known_ms,
+        )
+        if born_ms is None:
+            born_ms = max(now_ms, known_ms or 0)
+        return Withdrawal(backend, born_ms, FINAL_SEQUENCE)
+
+    def withdraw(self, withdrawal: Withdrawal, now_s: float) -> None:
+        """Remove the server if it is known by an outdated announcement only."""
+        remembered = self.withdrawals.get(withdrawal.backend)
+        if remembered and remembered[0].version > withdrawal.version:
+            withdrawal = remembered[0]
+        self.withdrawals[withdrawal.backend] = withdrawal, now_s
+        known = self.backends.get(withdrawal.backend)
+        if known and _version(known.announcement) < withdrawal.version:
+            self._drop(withdrawal.backend)
+            self._notify()
+
+    def _is_withdrawn(self, announcement: Announcement) -> bool:
+        remembered = self.withdrawals.get(announcement.backend)
+        return (
+            remembered is not None
+            and _version(announcement) <= remembered[0].version
         )
-        if known is None:
-            if born_ms is not None:
-                self.tombstones[backend, born_ms] = now_s
-            return
-        if born_ms is not None and born_ms < known.announcement.born_ms:
-            return
-        self._remove(known.announcement, now_s)
-        self._notify()
 
     def forget(self, backend: ids.BackendId, now_s: float) -> None:
         """Remove a backend server that counts as lost.
@@ -189,18 +235,18 @@
             self._notify()
 
     def expire(self, now_s: float) -> None:
-        """Drop tombstones that are older than any possible delay."""
-        self.tombstones = {
-            life: left_s
-            for life, left_s in self.tombstones.items()
-            if now_s - left_s < TOMBSTONE_S
+        """Drop withdrawals that are older than any possible delay."""
+        self.withdrawals = {
+            backend: (withdrawal, received_s)
+            for backend, (withdrawal, received_s) in self.withdrawals.items()
+            if now_s - received_s < WITHDRAWAL_S
         }
 
     def clear(self) -> None:
         """Forget everything, at the start of a leader's term."""
         self.backends.clear()
         self.at_address.clear()
-        self.tombstones.clear()
+        self.withdrawals.clear()
         self.superseded.clear()
 
     def of_service(self, service: ids.ServiceId) -> list[Backend]:
@@ -240,10 +286,6 @@
                 del self.at_address[known.announcement.address]
         return known
 
-    def _remove(self, announcement: Announcement, now_s: float) -> None:
-        self._drop(announcement.backend)
-        self.tombstones[announcement.backend, announcement.born_ms] = now_s
-
     def _notify(self) -> None:
         for callback in self.listeners:
             callback()
--- a/tests/direct/test_departures.py
+++ b/tests/direct/test_departures.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from flamingocleat.version import declared
 from flamingocleat.version import fleet
 from tests.direct import coordinators
 
@@ -85,3 +86,54 @@
         assert set(leader.fleet.backends) == {"b-1"}
 
     coordinators.run_scenario(tmp_path, scenario)
+
+
+def withdraw(machine: declared.Machine, name: str, stored_ms: int) -> None:
+    withdrawal = fleet.Withdrawal(name, 1000, fleet.FINAL_SEQUENCE)
+    stored = declared.StoredWithdrawal(withdrawal, stored_ms)
+    command = declared.PutDocument(declared.NO_VERSION, b"", stored)
+    machine.apply(1, machine.decode(machine.encode(command)))
+
+
+def test_withdrawals_survive_a_snapshot():
+    """A voter that restarts from a snapshot must know all withdrawals."""
+    machine, restored = declared.Machine(), declared.Machine()
+    machine.apply(1, declared.PutDocument(7, b"document"))
+    withdraw(machine, "b-1", 5000)
+    restored.restore(machine.snapshot())
+    assert restored.holds(fleet.Withdrawal("b-1", 1000, 12))
+    assert not restored.holds(fleet.Withdrawal("b-1", 2000, 1))
+    assert (restored.version, restored.document) == (7, b"document")
+
+
+def test_earlier_builds_read_a_withdrawal_as_an_outdated_document():
+    """A voter of an earlier build must not fail on the command."""
+
+    class EarlierPut(msgspec.Struct, tag="put"):
+        version: int
+        document: bytes
+
+    stored = declared.StoredWithdrawal(fleet.Withdrawal("b-1", 1000, 12), 5000)
+    command = declared.PutDocument(declared.NO_VERSION, b"", stored)
+    data = declared.Machine().encode(command)
+    assert msgspec.msgpack.decode(data, type=EarlierPut).version < 0
+
+
+def test_withdrawals_are_bounded(monkeypatch):
+    """Withdrawals must be dropped when they are old, or too many."""
+    monkeypatch.setattr(declared, "MAX_WITHDRAWALS", 3)
+    machine = declared.Machine()
+    for number in range(5):
+        withdraw(machine, f"b-{number}", 5000 + number)
+    assert list(machine.withdrawals) == ["b-2", "b-3", "b-4"]
+    withdraw(machine, "b-9", 5004 + round(fleet.WITHDRAWAL_S * 1000))
+    assert list(machine.withdrawals) == ["b-9"]
+
+
+def test_departure_without_a_lifetime_ends_those_not_known_yet():
+    """A restarted server may leave before its new lifetime is announced."""
+    fleet_state = fleet.Fleet()
+    assert fleet_state.announce(announcement(born_ms=1000), 0.0)
+    fleet_state.withdraw(fleet_state.departure("b-1", None, 9000), 1.0)
+    assert not fleet_state.announce(announcement(born_ms=8000, sequence=1), 2.0)
+    assert fleet_state.announce(announcement(born_ms=9500, sequence=1), 3.0)
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -21,6 +21,11 @@
     )
 
 
+def leave(fleet_state, backend, born_ms, now_s, now_ms=2000) -> None:
+    departure = fleet_state.departure(backend, born_ms, now_ms)
+    fleet_state.withdraw(departure, now_s)
+
+
 @pytest.fixture
 def fleet_state():
     fleet_state = fleet.Fleet()
@@ -81,7 +86,7 @@
 
 def test_departed_lifetime_does_not_return(fleet_state):
     """An announcement that arrives after the departure must be ignored."""
-    fleet_state.leave("b-1", 1000, 1.0)
+    leave(fleet_state, "b-1", 1000, 1.0)
     assert not fleet_state.announce(announcement(sequence=6), 2.0)
     assert fleet_state.backends == {}
     assert fleet_state.announce(announcement(born_ms=3000, sequence=1), 3.0)
@@ -90,7 +95,7 @@
 def test_departure_of_an_older_lifetime_is_ignored(fleet_state):
     """A delayed departure must not remove the current lifetime."""
     assert fleet_state.announce(announcement(born_ms=2000, sequence=1), 1.0)
-    fleet_state.leave("b-1", 1000, 2.0)
+    leave(fleet_state, "b-1", 1000, 2.0)
     assert "b-1" in fleet_state.backends
 
 
@@ -99,7 +104,7 @@
 
     A new leader may receive them in this order.
     """
-    fleet_state.leave("b-9", 1000, 1.0)
+    leave(fleet_state, "b-9", 1000, 1.0)
     late = announcement(backend="b-9", address="10.0.0.9:80")
     assert not fleet_state.announce(late, 2.0)
 
