Withhold parts of prompts that end servers, on evidence that gateways share

Cause: nothing connected the ends with what the requests in flight had in common; a request whose server ended was sent again with all the others, and its caller came back to a gateway that knew nothing. Class: a repeat that carries the cause of the failure with it. Change: an end is blamed on the parts of requests without an event, less those that a server wrote on since. Gateways share the evidence through the leader. attempt_failed names the parts, head_ended_before_answer and part_withheld the blame. Ruled out: refusing all suspects after one end, since a sound caller that is new would be kept out too.

--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -29,6 +29,7 @@
 from flamingocleat.connection import packing
 from flamingocleat.process import logs
 from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import crashes as crashes_module
 from flamingocleat.version import routing
 
 _log = logs.logger("feed")
@@ -100,6 +101,8 @@
         """Servers that the gateway should use, computed for assigned_key."""
         self.assigned_key: tuple[_BackendIndex, int] | None = None
         self.sent_settled = False
+        self.sent_crashes = 0
+        """Version of the evidence on ends of heads that was last sent."""
         self.sent_s = float("-inf")
         self.task: asyncio.Task[None] | None = None
 
@@ -119,6 +122,9 @@
         self.subscriptions: dict[ids.EntryId, _Subscription] = {}
         self.totals: dict[ids.BackendId, tuple[int, int]] = {}
         """Requests in flight and unread tokens per head, over all gateways."""
+        self.crashes = crashes_module.CrashRecord()
+        """Ends of heads, as reported by all gateways."""
+        self.crashes.subscribe(self.notify)
         self.index: _BackendIndex | None = None
         self.packed_catalog: tuple[int, bytes] = (-1, b"")
         """Version of a catalog, and the catalog as gateways receive it."""
@@ -160,7 +166,7 @@
                 old.task.cancel()
         self.subscriptions[first.gateway] = subscription
         self._count(first, 1)
-        self.on_report(first)
+        self._handle_report(first)
         logs.info(_log, "gateway_connected", gateway=first.gateway)
         reason = "stream ended"
         try:
@@ -193,7 +199,12 @@
                 self._count(subscription.report, -1)
                 self._count(report, 1)
             subscription.report = report
-            self.on_report(report)
+            self._handle_report(report)
+
+    def _handle_report(self, report: messages.GatewayReport) -> None:
+        if report.crashes is not None:
+            self.crashes.merge(report.crashes)
+        self.on_report(report)
 
     async def _send(
         self, stream: typing.Any, subscription: _Subscription
@@ -235,8 +246,12 @@
         served = self._assigned(subscription, state)
         difference = _difference(subscription.sent, served)
         has_changes = bool(difference) or (
-            (version, state.settled)
-            != (subscription.sent_version, subscription.sent_settled)
+            (version, state.settled, self.crashes.version)
+            != (
+                subscription.sent_version,
+                subscription.sent_settled,
+                subscription.sent_crashes,
+            )
         )
         due_s = subscription.sent_s + interval_s(len(self.subscriptions))
         if not has_changes and now_s < due_s - COALESCE_S:
@@ -244,6 +259,10 @@
         catalog = (
             state.catalog if version != subscription.sent_version else None
         )
+        crashes = None
+        if subscription.sent_crashes != self.crashes.version:
+            subscription.sent_crashes = self.crashes.version
+            crashes = self.crashes.evidence()
         subscription.sent_version = version
         subscription.sent_settled = state.settled
         subscription.sent_s = now_s
@@ -259,6 +278,7 @@
             gateways=len(self.subscriptions),
             voters=state.voters,
             reads_packed=True,
+            crashes=crashes,
         )
 
     def _pack(self, view: messages.GatewayView) -> messages.GatewayView:
@@ -392,10 +412,14 @@
         seeds: collections.abc.Callable[[], collections.abc.Sequence[str]],
         report: collections.abc.Callable[[int], messages.GatewayReport],
         on_view: collections.abc.Callable[[messages.GatewayView], None],
+        crashes: crashes_module.CrashRecord | None = None,
     ) -> None:
         self.seeds = seeds
         self.report = report
         self.on_view = on_view
+        self.crashes = crashes or crashes_module.CrashRecord()
+        self.sent_crashes = -1
+        """Version of the own evidence that was last sent on this stream."""
         self.voters: tuple[str, ...] = ()
         self.heard_s = float("-inf")
         self.gateways = 1
@@ -405,6 +429,7 @@
         self.sequence = itertools.count(1)
         self.report_now = asyncio.Event()
         """Set to send a report to the leader without delay."""
+        self.crashes.subscribe(self._on_crashes)
 
     async def run(self) -> None:
         """Stay connected to the current leader until cancelled."""
@@ -420,6 +445,16 @@
                 hint = ""
                 await asyncio.sleep(RECONNECT_PAUSE_S)
 
+    def _on_crashes(self) -> None:
+        if self._has_unsent_crashes():
+            self.report_now.set()
+
+    def _has_unsent_crashes(self) -> bool:
+        return (
+            bool(self.crashes.crashes)
+            and self.sent_crashes != self.crashes.own_version
+        )
+
     def _addresses(self) -> list[str]:
         return list(dict.fromkeys((*self.voters, *self.seeds())))
 
@@ -455,6 +490,7 @@
         return hint
 
     async def _follow(self, grpc_channel: grpclib.client.Channel) -> None:
+        self.sent_crashes = -1
         async with codec.GATEWAY_FEED.open(grpc_channel) as stream:
             async with asyncio.timeout(silence_s(self.gateways)):
                 await self._send(stream)
@@ -477,6 +513,8 @@
             self.heard_s = time.monotonic()
             self.gateways = view.gateways
             self.voters = view.voters or self.voters
+            if view.crashes is not None:
+                self.crashes.merge(view.crashes)
             self.on_view(view)
 
     async def _report(self, stream: typing.Any) -> None:
@@ -488,6 +526,11 @@
         report = msgspec.structs.replace(
             self.report(next(self.sequence)), reads_packed=True
         )
+        if self._has_unsent_crashes():
+            self.sent_crashes = self.crashes.own_version
+            report = msgspec.structs.replace(
+                report, crashes=self.crashes.evidence()
+            )
         if self.leader_reads_packed:
             report = packing.pack_report(report)
         await stream.send_message(report)
--- a/src/flamingocleat/ids.py
+++ b/src/flamingocleat/ids.py
@@ -29,5 +29,8 @@
 BackendId = typing.NewType("BackendId", str)
 """A backend server that announces itself."""
 
+PromptPart = typing.NewType("PromptPart", str)
+"""A part of a prompt that other requests may share."""
+
 Epoch = typing.NewType("Epoch", int)
 """Fencing number of a group: the leader's term and a counter."""
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -430,6 +430,31 @@
     """Those of them that found no slot in time."""
 
 
+class HeadEnd(Message, frozen=True):
+    """A head that ended while requests without an event were in flight."""
+
+    group: str
+    ended_ms: int
+    """Time since then."""
+    parts: tuple[ids.PromptPart, ...]
+    """Parts of the prompts of those requests."""
+
+
+class WrittenPart(Message, frozen=True):
+    """A part of prompts that a server has written on."""
+
+    part: ids.PromptPart
+    written_ms: int
+    """Time since the last answer began."""
+
+
+class CrashEvidence(Message, frozen=True):
+    """Ends of heads, and which parts of prompts are known to be sound."""
+
+    ends: tuple[HeadEnd, ...] = ()
+    written: tuple[WrittenPart, ...] = ()
+
+
 class GatewayReport(Message, frozen=True):
     """State of a gateway, reported to the leader."""
 
@@ -445,6 +470,8 @@
     """A ReportBody, compressed; replaces the fields that it has."""
     reads_packed: bool = False
     """Whether the gateway reads compressed views."""
+    crashes: CrashEvidence | None = None
+    """All that the gateway knows, if that has changed."""
 
 
 class ReportBody(Message, frozen=True):
@@ -500,6 +527,8 @@
     """The catalog, compressed; replaces it."""
     reads_packed: bool = False
     """Whether the leader reads compressed reports."""
+    crashes: CrashEvidence | None = None
+    """All that the gateways know, if that has changed."""
 
 
 class ViewBody(Message, frozen=True):
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -66,7 +66,10 @@
             header_names, self.admission, self.budget
         )
         self.subscriber = feed.Subscriber(
-            lambda: self.settings.control, self._report, self._apply_view
+            lambda: self.settings.control,
+            self._report,
+            self._apply_view,
+            self.forwarder.guard.crashes,
         )
         self.forwarder.view_age_s = lambda: min(
             MAX_LOGGED_VIEW_AGE_S, time.monotonic() - self.subscriber.heard_s
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -85,6 +85,8 @@
     prompt_tokens: int = 0
     repeatable: bool = True
     """Whether it may be sent again although it may have run."""
+    is_trial: bool = False
+    """Whether its server may end, with all that the server has in flight."""
 
     @property
     def on_time_until_s(self) -> float:
@@ -409,6 +411,8 @@
     def _cost(
         self, candidate: candidates_module.Candidate, demand: Demand
     ) -> tuple[float, str]:
+        if demand.is_trial:
+            return candidate.total, candidate.view.backend
         cost = candidate.total / max(1, candidate.view.slots)
         cost += candidate.reading_s / max(0.05, demand.objective_s)
         if candidate.view.data_centre != self.data_centre:
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -22,9 +22,11 @@
 from flamingocleat.request import admission as admission_module
 from flamingocleat.request import budget as budget_module
 from flamingocleat.request import continuation
+from flamingocleat.request import crash_guard
 from flamingocleat.request import events
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog
+from flamingocleat.version import crashes
 
 _log = logs.logger("forward")
 
@@ -84,6 +86,9 @@
     token_counts: bytes = b"flamingocleat-tokens"
     """Number of prompt tokens and maximum of answer tokens, separated by a
     comma."""
+    prompt_parts: bytes = b"flamingocleat-prompt-parts"
+    """ID:TOKENS for each part of the prompt, separated by commas; the last
+    part is the request's own."""
     urgency: bytes = b"flamingocleat-urgency"
 
 
@@ -152,6 +157,12 @@
             arrived_s=exchange.arrived_s,
             prompt_tokens=_prompt_tokens(tokens, service),
         )
+        self.parts = (
+            crash_guard.shared_parts(exchange.header(header_names.prompt_parts))
+            if service.engine is not None
+            else ()
+        )
+        """Parts of its prompt that other requests may share."""
         self.sent = 0
         """Number of times that the request was sent to a server."""
         self.sent_to: set[ids.BackendId] = set()
@@ -220,6 +231,7 @@
         self.header_names = header_names
         self.admission = admission
         self.budget = budget
+        self.guard = crash_guard.CrashGuard(crashes.CrashRecord())
         self.catalog_index: catalog.CatalogIndex | None = None
         self.requests = 0
         self.view_age_s: collections.abc.Callable[[], float] = lambda: 0.0
@@ -316,31 +328,58 @@
         connect_failures = 0
         stream = Stream(call, self)
         while True:
-            candidate = await self._place(call, tried)
-            placed_s = time.monotonic()
-            call.backend = candidate.view.backend
-            try:
-                await self._attempt(call, candidate, stream)
+            with self.guard.trial(await self._admit(call)) as on_trial:
+                error = await self._try_once(call, stream, tried, on_trial)
+            if error is None:
+                return
+            if error.failure is Failure.UNKNOWN:
+                call.may_have_run = True
+            tried |= {call.backend}
+            connect_failures += error.failure is Failure.NOT_SENT
+            if not self._may_retry(call, error, connect_failures):
+                await self._fail(call, error)
                 return
-            except AttemptError as error:
-                self._log_failure(call, candidate, error)
-                if error.failure is Failure.UNKNOWN:
-                    call.may_have_run = True
-                tried |= {candidate.view.backend}
-                connect_failures += error.failure is Failure.NOT_SENT
-                if not self._may_retry(call, error, connect_failures):
-                    await self._fail(call, error)
-                    return
-            finally:
-                self.admission.release(candidate, time.monotonic() - placed_s)
+
+    async def _try_once(
+        self,
+        call: Call,
+        stream: "Stream",
+        tried: frozenset[ids.BackendId],
+        on_trial: tuple[ids.PromptPart, ...],
+    ) -> AttemptError | None:
+        """Serve a call by one server; return why that failed, or None."""
+        candidate = await self._place(call, tried, on_trial)
+        placed_s = time.monotonic()
+        call.backend = candidate.view.backend
+        try:
+            await self._attempt(call, candidate, stream)
+        except AttemptError as error:
+            self._log_failure(call, candidate, error)
+            return error
+        finally:
+            self.admission.release(candidate, time.monotonic() - placed_s)
+        return None
+
+    async def _admit(self, call: Call) -> tuple[ids.PromptPart, ...]:
+        """Wait until the call may be sent; return the parts that it tries."""
+        try:
+            return await self.guard.admit(call.parts, call.deadline_s)
+        except crash_guard.WithheldError as error:
+            status = 502 if call.may_have_run else 503
+            raise Refusal(status, str(error), error.retry_after_s) from error
 
     async def _place(
         self,
         call: Call,
         tried: frozenset[ids.BackendId],
+        on_trial: tuple[ids.PromptPart, ...],
     ) -> candidates_module.Candidate:
         resuming = call.exchange.started
-        demand = msgspec.structs.replace(call.demand, repeatable=call.can_retry)
+        demand = msgspec.structs.replace(
+            call.demand,
+            repeatable=call.can_retry,
+            is_trial=bool(on_trial),
+        )
         try:
             return await self.admission.place(demand, tried, resuming=resuming)
         except admission_module.NoCapacityError as error:
@@ -384,6 +423,8 @@
             reason = attempt.interrupted or str(error)
             if not attempt.interrupted:
                 candidate.mark_failed(time.monotonic())
+                if candidate.view.model and not attempt.writing:
+                    self.guard.record_crash(candidate.view.group, call.parts)
             raise AttemptError(Failure.UNKNOWN, reason) from error
         finally:
             candidate.attempts.discard(attempt)
@@ -592,6 +633,7 @@
             sent=call.sent,
             failure=error.failure.value,
             after_ms=round((time.monotonic() - call.exchange.arrived_s) * 1000),
+            parts=",".join(call.parts),
             reason=error,
         )
 
@@ -656,6 +698,8 @@
                 raise http.BrokenAnswerError(str(error)) from error
             if any(event.has_fields for event in found):
                 attempt.candidate.mark_alive(time.monotonic())
+                if not attempt.writing:
+                    self.forwarder.guard.record_write(self.call.parts)
                 attempt.writing = True
             await self._send(answer, self.received.add(found, content_type))
         if parser.buffer:
--- a/tests/direct/test_crash_guard.py
+++ b/tests/direct/test_crash_guard.py
@@ -4,7 +4,10 @@
 import random
 
 import msgspec
+import pytest
 
+from flamingocleat.request import crash_guard
+from flamingocleat.version import crashes
 from tests.direct import support
 
 LETHAL = "dd01"
@@ -51,14 +54,14 @@
             self.lethal_arrivals += lethal
             await asyncio.sleep(READ_S)
             if lethal:
-                await self._end(name)
+                await self.end(name)
                 return
             after = int(received.headers.get("last-event-id", 0))
             await received.send_events(after + 1, 10, pause_s=0.01)
         finally:
             self.tasks.discard(task)
 
-    async def _end(self, name: str) -> None:
+    async def end(self, name: str) -> None:
         """End a head with all its streams; another one starts later."""
         backend = self.alive.pop(name, None)
         if backend is None:
@@ -77,7 +80,7 @@
 
 
 async def play(
-    engines: Engines, duration_s: float, seed: int
+    engines: Engines, duration_s: float, seed: int, lethal_every: int = 12
 ) -> tuple[list[support.Reply], list[support.Reply]]:
     """Send sound and lethal requests; return the replies to each."""
     generator = random.Random(seed)
@@ -92,7 +95,7 @@
     tasks = []
     for number in range(round(duration_s / 0.02)):
         own = f"{number:08x}:100"
-        if number % 12 == 5:
+        if lethal_every and number % lethal_every == 5:
             parts = f"{CALLER}:20,{LETHAL}:30,{own}"
             tasks.append(asyncio.create_task(send(lethal, parts)))
         else:
@@ -118,3 +121,137 @@
         assert len(served) >= 0.95 * len(sound)
 
     support.run_scenario(scenario)
+
+
+def test_gateways_learn_of_the_part_from_each_other():
+    """A caller that is refused comes back through other gateways."""
+
+    async def scenario(first):
+        second = support.Harness()
+        await second.start()
+        share_evidence(first, second)
+        engines = Engines(first, second)
+        for _ in range(5):
+            await engines.add()
+        sound, lethal = await play(engines, 3.0, seed=2)
+        assert engines.ended <= 5
+        assert engines.lethal_arrivals <= 8
+        assert all(reply.status in (502, 503) for reply in lethal)
+        served = [reply for reply in sound if reply.is_complete]
+        assert len(served) >= 0.95 * len(sound)
+        await second.close()
+
+    support.run_scenario(scenario)
+
+
+def share_evidence(*harnesses: support.Harness) -> None:
+    """Pass the evidence of each gateway on to the others, as control does."""
+    records = [each.forwarder.guard.crashes for each in harnesses]
+
+    def share(source) -> None:
+        evidence = source.evidence()
+        for each in records:
+            asyncio.get_running_loop().call_later(0.02, each.merge, evidence)
+
+    for record in records:
+        record.subscribe(lambda record=record: share(record))
+
+
+def test_heads_that_end_by_themselves_keep_no_caller_out():
+    """Sound requests must be served although heads end while they wait."""
+
+    async def scenario(harness):
+        engines = Engines(harness)
+        for _ in range(5):
+            await engines.add()
+
+        async def end_heads() -> None:
+            for _ in range(4):
+                await asyncio.sleep(0.5)
+                await engines.end(next(iter(engines.alive)))
+
+        ends = asyncio.create_task(end_heads())
+        sound, _ = await play(engines, 2.5, seed=3, lethal_every=0)
+        await ends
+        assert engines.ended == 4
+        served = [reply for reply in sound if reply.is_complete]
+        assert len(served) >= 0.95 * len(sound)
+        verdicts = map(
+            harness.forwarder.guard.crashes.verdict, ("aa01", "aa02", "aa03")
+        )
+        assert set(verdicts) == {crashes.Verdict.CLEAR}
+
+    support.run_scenario(scenario)
+
+
+def test_one_request_at_a_time_tries_a_suspect_part():
+    """Others must wait for its outcome, and are served if it is sound."""
+
+    async def scenario(harness):
+        at_once = most_at_once = 0
+
+        async def serve(received):
+            nonlocal at_once, most_at_once
+            at_once += 1
+            most_at_once = max(most_at_once, at_once)
+            await asyncio.sleep(READ_S)
+            at_once -= 1
+            await received.send_events(1, 3)
+
+        await harness.add(serve, "llm", slots=24)
+        guard = harness.forwarder.guard
+        guard.record_crash("g-lost", ("aa09",))
+        replies = await asyncio.gather(
+            *(
+                harness.request(
+                    "/stream/x", flamingocleat_prompt_parts=f"aa09:1,{n}:1"
+                )
+                for n in range(5)
+            )
+        )
+        assert [reply.is_complete for reply in replies] == [True] * 5
+        assert len(harness.backends[0].received) == 5
+        assert most_at_once < 5
+        assert guard.crashes.verdict("aa09") is crashes.Verdict.CLEAR
+
+    support.run_scenario(scenario)
+
+
+def test_withheld_request_is_refused_at_once():
+    """What ends servers must reach none, and its caller must not wait."""
+
+    async def scenario(harness):
+        backend = await harness.add(answer_never, "llm")
+        guard = harness.forwarder.guard
+        guard.record_crash("g-lost-1", (LETHAL,))
+        guard.record_crash("g-lost-2", (LETHAL,))
+        reply = await harness.request(
+            "/stream/x", flamingocleat_prompt_parts=f"{LETHAL.upper()}:1,x:1"
+        )
+        assert (reply.status, reply.is_complete) == (503, True)
+        assert float(reply.headers["retry-after"]) == 1.0
+        assert backend.received == []
+
+    support.run_scenario(scenario)
+
+
+async def answer_never(received: support.ReceivedRequest) -> None:
+    await received.wait_until_closed()
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("", ()),
+        ("a:1", ()),
+        ("A:1,b:2", ("a",)),
+        (" a:1 , b:2,c:3", ("a", "b")),
+        (",,:5,a,b:x", ("a",)),
+        ("a" * 500 + ":1,b:1", ("a" * crash_guard.MAX_PART_LENGTH,)),
+    ],
+)
+def test_malformed_parts_are_read_as_far_as_possible(text, expected):
+    """A caller's header must not make a request fail."""
+    assert crash_guard.shared_parts(text) == expected
+    many = crash_guard.shared_parts(",".join(f"{n}:1" for n in range(500)))
+    assert len(many) == crash_guard.MAX_PARTS
--- a/tests/direct/test_feed.py
+++ b/tests/direct/test_feed.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import collections
+import functools
+import time
 
 import pytest
 
+from examples import local
 from flamingocleat import messages
+from flamingocleat.connection import channel
+from flamingocleat.connection import codec
 from flamingocleat.connection import feed
+from flamingocleat.version import crashes
 from tests import streams
 
 
@@ -199,3 +205,79 @@
         return await connections.count_attempts(subscriber.run())
 
     assert asyncio.run(scenario()) >= 3
+
+
+class Region:
+    """A leader and gateways on loopback that share evidence on crashes."""
+
+    def __init__(self, gateways: int) -> None:
+        self.address = ""
+        self.subscribers = [
+            feed.Subscriber(
+                lambda: [self.address],
+                functools.partial(self._report, number),
+                lambda _view: None,
+                crashes.CrashRecord(),
+            )
+            for number in range(gateways)
+        ]
+
+    def _report(self, gateway: int, sequence: int) -> messages.GatewayReport:
+        return messages.GatewayReport(f"gateway-{gateway}", "a", sequence, 1, 0)
+
+    async def lead(self) -> channel.Server:
+        """Start a leader that knows nothing, at a new address."""
+        publisher = feed.Publisher(
+            self.admit, lambda: feed.FleetState(term=1), lambda _report: None
+        )
+        server = channel.Server(
+            [codec.Service({codec.GATEWAY_FEED: publisher.handle})]
+        )
+        port = local.free_port()
+        await server.start("127.0.0.1", port)
+        self.address = f"127.0.0.1:{port}"
+        return server
+
+    async def admit(self) -> None:
+        return
+
+    async def wait_for_verdicts(self, part: str, verdict) -> None:
+        async with asyncio.timeout(10):
+            while {each.crashes.verdict(part) for each in self.subscribers} != {
+                verdict
+            }:
+                await asyncio.sleep(0.01)
+
+
+def test_evidence_on_crashes_reaches_all_gateways_and_the_next_leader():
+    """A part that ended servers at one gateway must be known to all."""
+
+    async def scenario() -> None:
+        region = Region(gateways=2)
+        server = await region.lead()
+        first, second = region.subscribers
+        tasks = [asyncio.create_task(first.run())]
+        first.crashes.record_crash("g-1", ["a", "b"], time.monotonic())
+        tasks.append(asyncio.create_task(second.run()))
+        await region.wait_for_verdicts("a", crashes.Verdict.SUSPECT)
+        second.crashes.record_write("b", time.monotonic())
+        second.crashes.record_crash("g-2", ["a"], time.monotonic())
+        await region.wait_for_verdicts("a", crashes.Verdict.WITHHELD)
+        await region.wait_for_verdicts("b", crashes.Verdict.CLEAR)
+        tasks.pop(0).cancel()
+        server.close()
+        next_server = await region.lead()
+        region.subscribers[0] = feed.Subscriber(
+            lambda: [region.address],
+            functools.partial(region._report, 0),
+            lambda _view: None,
+            crashes.CrashRecord(),
+        )
+        tasks.append(asyncio.create_task(region.subscribers[0].run()))
+        await region.wait_for_verdicts("a", crashes.Verdict.WITHHELD)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        next_server.close()
+
+    asyncio.run(scenario())
