--- a/tests/direct/coordinators.py
+++ b/tests/direct/coordinators.py
@@ -62,16 +62,20 @@
     def address(self, number: int) -> str:
         return f"127.0.0.{number}:{self.grpc_port}"
 
+    def settings(
+        self, number: int, *, bootstrap: bool
+    ) -> settings.CoordinatorSettings:
+        return settings.CoordinatorSettings(
+            address=self.address(number),
+            http_listen=f"127.0.0.{number}:{self.http_port}",
+            data_folder=str(self.tmp_path / str(number)),
+            bootstrap=bootstrap,
+            seeds=self.seeds,
+        )
+
     async def start(self, number: int, *, bootstrap: bool) -> None:
         instance = coordinator.Coordinator(
-            settings.CoordinatorSettings(
-                address=self.address(number),
-                http_listen=f"127.0.0.{number}:{self.http_port}",
-                data_folder=str(self.tmp_path / str(number)),
-                bootstrap=bootstrap,
-                seeds=self.seeds,
-            ),
-            PlainPlatform(),
+            self.settings(number, bootstrap=bootstrap), PlainPlatform()
         )
         self.running[number] = instance
         await instance.start()
