--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -391,7 +391,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two: the address has no valid port.
             raise ConnectError(address, error) from error
         return cls(reader, writer)
 
