Answer every request before a gateway ends in a planned stop

A report of other operators, and it can happen here: a request that was taken late in the grace period, and still ran at its end, was cut with the process, without an answer, also if it may run only once; and a notice longer than the grace period kept taking requests until the kill. Now a request ends with the stop as with its deadline: its server is told of the shorter time, and 0.2 s before the end its caller gets 504 (or 503 if it was not sent). The notice takes at most half of the grace period, which changes nothing at 3 s of 8.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -35,6 +35,10 @@
 """Upper bound on the logged view age, used if no view has arrived."""
 GRACE_MARGIN_S = 0.7
 """Time left unused at the end of the grace period."""
+ANSWER_MARGIN_S = 0.2
+"""Time before that at which requests without an answer get a final one."""
+MAX_NOTICE_FRACTION = 0.5
+"""Bound on the drain notice, as a fraction of the grace period."""
 IDLE_POLL_S = 0.05
 """Interval between checks for unfinished requests while draining."""
 
@@ -129,8 +133,12 @@
     async def _drain(self, began_s: float) -> None:
         """Accept requests during the drain notice, then finish pending ones."""
         self.server.draining = True
-        end_s = began_s + self.settings.grace_s - GRACE_MARGIN_S
-        notice_s = began_s + self.settings.drain_notice_s
+        grace_s = self.settings.grace_s - GRACE_MARGIN_S
+        end_s = began_s + grace_s
+        notice_s = began_s + min(
+            self.settings.drain_notice_s, grace_s * MAX_NOTICE_FRACTION
+        )
+        self.forwarder.stop_by(end_s - ANSWER_MARGIN_S)
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
         self.server.close_listener()
         self.server.close_idle()
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -240,6 +240,9 @@
         self.started_s = time.monotonic()
         self.held = 0
         """Requests that wait for the first configuration."""
+        self.stop_at_s = float("inf")
+        """When the last answer must be sent, since the process stops."""
+        self.in_flight: dict[Call, asyncio.Timeout] = {}
         self.catalog_arrived = asyncio.Event()
 
     def limits(self) -> catalog.Limits:
@@ -260,14 +263,27 @@
             if self.catalog_index is None:
                 await self._wait_for_catalog(exchange)
             call = self._parse(exchange)
+            call.deadline_s = min(call.deadline_s, self.stop_at_s)
             self.budget.record_request(call.service.name)
-            async with asyncio.timeout(call.remaining_s()):
-                await self._serve(call)
+            async with asyncio.timeout(call.remaining_s()) as timeout:
+                self.in_flight[call] = timeout
+                try:
+                    await self._serve(call)
+                finally:
+                    del self.in_flight[call]
         except Refusal as refusal:
             await self._refuse(exchange, refusal)
         except TimeoutError:
             await self._time_out(exchange, call)
 
+    def stop_by(self, stop_at_s: float) -> None:
+        """Answer all requests until then, whatever their deadline."""
+        self.stop_at_s = stop_at_s
+        loop_offset_s = asyncio.get_running_loop().time() - time.monotonic()
+        for call, timeout in self.in_flight.items():
+            call.deadline_s = min(call.deadline_s, stop_at_s)
+            timeout.reschedule(call.deadline_s + loop_offset_s)
+
     async def _wait_for_catalog(self, exchange: http.Exchange) -> None:
         """Hold a request while the first configuration is about to arrive.
 
@@ -600,6 +616,8 @@
 
     async def _time_out(self, exchange: http.Exchange, call: Call) -> None:
         reason = f"no whole answer within {call.route.timeout_s} s"
+        if time.monotonic() >= self.stop_at_s:
+            reason = "no whole answer before this gateway stops"
         if exchange.started:
             self.record_answer(call, 0, reason)
             return
--- /dev/null
+++ b/tests/direct/test_gateway_stop.py
@@ -0,0 +1,141 @@
+"""Planned stops of a gateway: what its callers get."""
+
+import asyncio
+import time
+
+import pytest
+
+from examples import local
+from flamingocleat.process import gateway
+from flamingocleat.process import settings
+from flamingocleat.process import shutdown
+from flamingocleat.version import catalog
+from tests.direct import support
+
+GRACE_S = 2.0
+
+
+class Gateway(support.Harness):
+    """A gateway program, with scripted backend servers."""
+
+    def __init__(self, grace_s: float) -> None:
+        super().__init__()
+        self.port = local.free_port()
+        self.program = gateway.Gateway(
+            lambda: settings.GatewaySettings(
+                gateway="gateway-1",
+                data_centre="a",
+                listen=f"127.0.0.1:{self.port}",
+                health_listen=f"127.0.0.1:{local.free_port()}",
+                control=("127.0.0.1:1",),
+                drain_notice_s=3.0,
+                grace_s=grace_s,
+            ),
+            support.HEADER_NAMES,
+        )
+        self.candidates = self.program.candidates
+        self.program.forwarder.apply_catalog(
+            catalog.CatalogIndex(support.CATALOG)
+        )
+
+    async def start(self) -> None:
+        self.running = asyncio.create_task(self.program.run())
+        await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """Stop it as SIGTERM does, with the end of its process."""
+        self.program.shutdown.request("SIGTERM")
+        await self.running
+        for connection in list(self.program.server.connections):
+            connection.abort()
+
+    async def close(self) -> None:
+        self.program.health.close_listener()
+        for backend in self.backends:
+            backend.server.close()
+
+
+async def hang(received: support.ReceivedRequest) -> None:
+    await received.wait_until_closed()
+
+
+async def answer_soon(received: support.ReceivedRequest) -> None:
+    await asyncio.sleep(0.2)
+    await received.answer(b"done")
+
+
+def run_scenario(monkeypatch, scenario, grace_s: float = GRACE_S) -> None:
+    monkeypatch.setattr(shutdown.Shutdown, "install", lambda _self: None)
+    monkeypatch.setattr(
+        shutdown.Shutdown, "install_reload", lambda _self, _reload: None
+    )
+
+    async def run() -> None:
+        program = Gateway(grace_s)
+        await program.start()
+        try:
+            await scenario(program)
+        finally:
+            await program.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/read/x", "/stream/x"])
+@pytest.mark.parametrize("sent_after_s", [-0.2, 0.2, 0.5])
+def test_request_that_outlasts_a_planned_stop_is_answered(
+    monkeypatch, path, sent_after_s
+):
+    """A caller must learn the outcome, not find its connection cut."""
+
+    async def scenario(program):
+        service = "llm" if path == "/stream/x" else "desk"
+        for _ in range(2):
+            await program.add(hang, service)
+        stopping = asyncio.create_task(asyncio.sleep(0))
+        if sent_after_s > 0:
+            stopping = asyncio.create_task(program.stop())
+        await asyncio.sleep(abs(sent_after_s) if sent_after_s > 0 else 0)
+        request = asyncio.create_task(
+            program.request(path, X_Request_Timeout_Ms="9000")
+        )
+        if sent_after_s < 0:
+            await asyncio.sleep(-sent_after_s)
+            stopping = asyncio.create_task(program.stop())
+        reply = await request
+        await stopping
+        assert (reply.status, reply.is_complete) == (504, True)
+        assert reply.headers["connection"] == "close"
+
+    run_scenario(monkeypatch, scenario)
+
+
+def test_requests_during_the_notice_are_served(monkeypatch):
+    """Until the balancer has noticed, callers still arrive."""
+
+    async def scenario(program):
+        await program.add(answer_soon)
+        stopping = asyncio.create_task(program.stop())
+        await asyncio.sleep(0.3)
+        reply = await program.request("/once/x")
+        assert (reply.status, reply.body) == (200, b"done")
+        await stopping
+
+    run_scenario(monkeypatch, scenario)
+
+
+def test_stop_ends_within_the_grace_period(monkeypatch):
+    """A grace period shorter than the notice must leave time to answer."""
+
+    async def scenario(program):
+        await program.add(hang)
+        request = asyncio.create_task(
+            program.request("/once/x", X_Request_Timeout_Ms="9000")
+        )
+        await asyncio.sleep(0.1)
+        began_s = time.monotonic()
+        await program.stop()
+        assert time.monotonic() - began_s < GRACE_S
+        assert (await request).is_complete
+
+    run_scenario(monkeypatch, scenario)
