Tell gateways of withdrawn servers before a new leader is settled

Views now name withdrawn servers until they are settled, and gateways drop them. Both tests fail without the change (the message had no such field).

--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -71,6 +71,8 @@
     """False until all backend servers have announced themselves to a new
     leader."""
     voters: tuple[str, ...] = ()
+    withdrawn: tuple[ids.BackendId, ...] = ()
+    """Servers that drain or have left, until the state is settled."""
 
 
 _BackendMap = dict[ids.BackendId, messages.ServedBackend]
@@ -101,6 +103,7 @@
         """Servers that the gateway should use, computed for assigned_key."""
         self.assigned_key: tuple[_BackendIndex, int] | None = None
         self.sent_settled = False
+        self.sent_withdrawn: tuple[ids.BackendId, ...] = ()
         self.sent_crashes = 0
         """Version of the evidence on ends of heads that was last sent."""
         self.sent_s = float("-inf")
@@ -246,11 +249,12 @@
         served = self._assigned(subscription, state)
         difference = _difference(subscription.sent, served)
         has_changes = bool(difference) or (
-            (version, state.settled, self.crashes.version)
+            (version, state.settled, self.crashes.version, state.withdrawn)
             != (
                 subscription.sent_version,
                 subscription.sent_settled,
                 subscription.sent_crashes,
+                subscription.sent_withdrawn,
             )
         )
         due_s = subscription.sent_s + interval_s(len(self.subscriptions))
@@ -265,6 +269,7 @@
             crashes = self.crashes.evidence()
         subscription.sent_version = version
         subscription.sent_settled = state.settled
+        subscription.sent_withdrawn = state.withdrawn
         subscription.sent_s = now_s
         if served is not None:
             subscription.sent = served
@@ -279,6 +284,7 @@
             voters=state.voters,
             reads_packed=True,
             crashes=crashes,
+            withdrawn=state.withdrawn,
         )
 
     def _pack(self, view: messages.GatewayView) -> messages.GatewayView:
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -529,6 +529,9 @@
     """Whether the leader reads compressed reports."""
     crashes: CrashEvidence | None = None
     """All that the gateways know, if that has changed."""
+    withdrawn: tuple[ids.BackendId, ...] = ()
+    """Servers that drain or have left, until the view is settled: the gateway
+    may know them from another leader."""
 
 
 class ViewBody(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -501,6 +501,7 @@
             voters=tuple(
                 sorted(self.consensus.membership.addresses().values())
             ),
+            withdrawn=() if self.settled else self.fleet.withdrawn(),
         )
 
     def _update_served_backends(self) -> None:
@@ -607,10 +608,14 @@
         withdrawal = self.fleet.departure(
             call.backend, call.born_ms, _unix_ms()
         )
-        self.fleet.withdraw(withdrawal, time.monotonic())
+        self._withdraw(withdrawal)
         await self._store_withdrawal(withdrawal)
         raise Reply(200)
 
+    def _withdraw(self, withdrawal: fleet_module.Withdrawal) -> None:
+        self.fleet.withdraw(withdrawal, time.monotonic())
+        self.publisher.notify()
+
     async def _store_drain(
         self, announcement: fleet_module.Announcement
     ) -> None:
@@ -621,7 +626,7 @@
         withdrawal = fleet_module.Withdrawal(
             announcement.backend, announcement.born_ms, announcement.sequence
         )
-        self.fleet.withdraw(withdrawal, time.monotonic())
+        self._withdraw(withdrawal)
         await self._store_withdrawal(withdrawal)
 
     async def _store_withdrawal(
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -180,6 +180,7 @@
                 ),
                 backends=len(backends_in_view),
             )
+        self.candidates.discard(view.withdrawn)
         self.candidates.update_load(view.load)
 
     def _apply_catalog(self, catalog: catalog_module.Catalog) -> None:
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -199,6 +199,13 @@
                 self.by_backend[view.backend] = Candidate(view)
         self.notify()
 
+    def discard(
+        self, backends: collections.abc.Iterable[ids.BackendId]
+    ) -> None:
+        """Remove servers; attempts at them continue."""
+        for backend in backends:
+            self.by_backend.pop(backend, None)
+
     def update_load(
         self, load: collections.abc.Iterable[messages.OtherGatewaysLoad]
     ) -> None:
--- a/src/flamingocleat/version/fleet.py
+++ b/src/flamingocleat/version/fleet.py
@@ -219,6 +219,16 @@
             and _version(announcement) <= remembered[0].version
         )
 
+    def withdrawn(self) -> tuple[ids.BackendId, ...]:
+        """Return the servers that drain or have left, and are not back."""
+        return tuple(
+            backend
+            for backend in self.withdrawals
+            if backend not in self.backends
+            or self.backends[backend].announcement.state
+            is BackendState.DRAINING
+        )
+
     def forget(self, backend: ids.BackendId, now_s: float) -> None:
         """Remove a backend server that counts as lost.
 
--- a/tests/direct/test_departures.py
+++ b/tests/direct/test_departures.py
@@ -6,6 +6,11 @@
 import msgspec
 import pytest
 
+from flamingocleat import messages
+from flamingocleat.connection import feed
+from flamingocleat.process import gateway
+from flamingocleat.process import settings
+from flamingocleat.request import forward
 from flamingocleat.version import declared
 from flamingocleat.version import fleet
 from tests.direct import coordinators
@@ -88,6 +93,58 @@
     coordinators.run_scenario(tmp_path, scenario)
 
 
+def test_departure_reaches_gateways_before_the_leader_is_settled(tmp_path):
+    """Gateways keep the list of the former leader until then."""
+
+    async def scenario(cluster):
+        await cluster.announce(announcement())
+        await cluster.stop_leader()
+        leader = await cluster.leader()
+        views: asyncio.Queue = asyncio.Queue()
+        subscriber = feed.Subscriber(
+            lambda: [leader.settings.address],
+            lambda sequence: messages.GatewayReport("g", "a", sequence, 1, 0),
+            views.put_nowait,
+        )
+        following = asyncio.create_task(subscriber.run())
+        await cluster.leave("b-1")
+        async with asyncio.timeout(coordinators.TIMEOUT_S):
+            while not (view := await views.get()).withdrawn:
+                assert not view.settled
+        assert view.withdrawn == ("b-1",)
+        assert not view.settled
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+
+    coordinators.run_scenario(tmp_path, scenario)
+
+
+def test_gateway_drops_withdrawn_servers_of_a_former_leader():
+    """It must not use them although the new leader lists no servers yet."""
+
+    async def scenario():
+        program = gateway.Gateway(
+            lambda: settings.GatewaySettings(
+                gateway="g",
+                data_centre="a",
+                listen="127.0.0.1:0",
+                health_listen="127.0.0.1:0",
+                control=(),
+            ),
+            forward.HeaderNames(),
+        )
+        listed = tuple(
+            messages.ServedBackend(f"b-{n}", f"10.0.0.{n}:80", "desk", "a", 4)
+            for n in (1, 2)
+        )
+        apply = program._apply_view
+        apply(messages.GatewayView(1, 1, backends=listed))
+        apply(messages.GatewayView(2, 1, settled=False, withdrawn=("b-1",)))
+        assert set(program.candidates.by_backend) == {"b-2"}
+
+    asyncio.run(scenario())
+
+
 def withdraw(machine: declared.Machine, name: str, stored_ms: int) -> None:
     withdrawal = fleet.Withdrawal(name, 1000, fleet.FINAL_SEQUENCE)
     stored = declared.StoredWithdrawal(withdrawal, stored_ms)
