Send nothing to servers that say they leave, or that name a wait

First tries, repeats, resumed streams, the last resort and requests that wait for a slot all choose by it; when all servers wait, callers are refused at once with the shortest wait. Not done: gateways do not share notices, orders' answers are not read, and the path with agents does not know them.

--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -493,6 +493,8 @@
     group: str = ""
     read_per_s: float = 0.0
     """Prompt tokens that it processes per second; 0 if unknown."""
+    born_ms: int = 0
+    """Start of its lifetime as Unix time; 0 if unknown."""
 
 
 class OtherGatewaysLoad(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -782,6 +782,7 @@
         service=announcement.service,
         data_centre=announcement.data_centre,
         slots=announcement.slots,
+        born_ms=announcement.born_ms,
     )
 
 
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -379,6 +379,7 @@
             for each in self.candidates.find(demand.service, demand.model)
             if each.view.backend not in excluded
             and each.total < each.view.slots * fraction
+            and each.accepts(now_s)
         ]
         if demand.model:
             # A head that failed recently is used if there is no other, a
@@ -431,7 +432,8 @@
         )
         wait_s = self.expected_wait_s(demand)
         if wait_s == float("inf"):
-            wait_s = REPAIR_S
+            waits_s = [each.wait_until_s - now_s for each in found]
+            wait_s = min((w for w in waits_s if w > 0), default=REPAIR_S)
         jitter_s = self.random.uniform(0, RETRY_AFTER_JITTER_S)
         return NoCapacityError(
             reason, max(BASE_RETRY_AFTER_S, wait_s) + jitter_s
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -79,6 +79,8 @@
     expected_backend: bytes = b"flamingocleat-backend"
     not_run: bytes = b"flamingocleat-not-run"
     """In an answer: the server states that it has not run the request."""
+    leaving: bytes = b"flamingocleat-leaving"
+    """In an answer: the server leaves, and wants no further requests."""
     proof: bytes = b"flamingocleat-proof"
     """In an answer: marks a success as the backend server's own."""
     last_event_id: bytes = b"last-event-id"
@@ -515,7 +517,7 @@
         except TimeoutError as error:
             attempt.candidate.mark_failed(time.monotonic())
             raise AttemptError(Failure.UNKNOWN, "no answer in time") from error
-        attempt.candidate.mark_alive(time.monotonic())
+        self.record_head(attempt.candidate, answer)
         self.check_answer(call, answer)
         if answer.status >= 500 and call.is_repeatable:
             failed = AttemptError(Failure.UNKNOWN, f"status {answer.status}")
@@ -524,6 +526,19 @@
         attempt.candidate.mark_succeeded()
         await self.send_answer(call, answer, body)
 
+    def record_head(
+        self, candidate: candidates_module.Candidate, answer: http.Answer
+    ) -> None:
+        """Record what the head of an answer tells about its server."""
+        now_s = time.monotonic()
+        candidate.mark_alive(now_s)
+        notices = candidate.notices
+        leaving = answer.header(self.header_names.leaving)
+        notices.record_leaving(candidate.lifetime, leaving)
+        if answer.status == 503:
+            wait = answer.header(b"retry-after")
+            notices.record_wait(candidate.lifetime, wait, now_s)
+
     def check_answer(self, call: Call, answer: http.Answer) -> None:
         """Check that an answer is the backend server's, and to this call.
 
@@ -688,7 +703,7 @@
     async def relay(self, attempt: Attempt, client: http.Client) -> None:
         """Forward events until the stream ends; raise if it breaks."""
         answer = await client.answer()
-        attempt.candidate.mark_alive(time.monotonic())
+        self.forwarder.record_head(attempt.candidate, answer)
         self.forwarder.check_answer(self.call, answer)
         if answer.status != 200:
             await self._send_failure(answer, await _read_failure(client))
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -6,6 +6,7 @@
 
 from flamingocleat import ids
 from flamingocleat import messages
+from flamingocleat.version import notices as notices_module
 
 WRITING_SILENCE_S = 0.35
 """Silence of all streams of a head from which it counts as silent. A head that
@@ -46,8 +47,13 @@
 class Candidate:
     """A backend server, or the head of a group."""
 
-    def __init__(self, view: messages.ServedBackend) -> None:
+    def __init__(
+        self,
+        view: messages.ServedBackend,
+        notices: notices_module.Notices | None = None,
+    ) -> None:
         self.view = view
+        self.notices = notices or notices_module.Notices()
         self.attempts: set[InFlightAttempt] = set()
         self.in_flight = 0
         self.in_flight_elsewhere = 0
@@ -62,6 +68,20 @@
         self.penalty_until_s = float("-inf")
         self.failures = 0
 
+    @property
+    def lifetime(self) -> notices_module.Lifetime:
+        """The server's current lifetime."""
+        return self.view.backend, self.view.born_ms
+
+    @property
+    def wait_until_s(self) -> float:
+        """Until when the server has asked for no requests."""
+        return self.notices.find(self.lifetime).wait_until_s
+
+    def accepts(self, now_s: float) -> bool:
+        """Return whether the server wants requests, as far as it has said."""
+        return self.notices.find(self.lifetime).accepts(now_s)
+
     @property
     def total(self) -> int:
         """Requests in flight from all gateways."""
@@ -124,6 +144,8 @@
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether other servers should be preferred."""
+        if not self.accepts(now_s):
+            return True
         if self.suspected_s is not None:
             return self.is_silent(now_s)
         return now_s < self.penalty_until_s
@@ -177,6 +199,7 @@
     ) -> None:
         self.clock = clock
         self.by_backend: dict[ids.BackendId, Candidate] = {}
+        self.notices = notices_module.Notices()
         self.listeners: list[collections.abc.Callable[[], None]] = []
         self.checked_s = float("inf")
         self.unpaused_since_s = float("-inf")
@@ -196,7 +219,7 @@
                 old.view = view
                 self.by_backend[view.backend] = old
             else:
-                self.by_backend[view.backend] = Candidate(view)
+                self.by_backend[view.backend] = Candidate(view, self.notices)
         self.notify()
 
     def discard(
