Let backend servers of the soak leave, name waits and crash on prompts

Three faults more: a plain server leaves and an announcement of it arrives late; one refuses with Retry-After; callers send a part that crashes each engine. Checked from what servers see, while no program was disturbed. The seeds that once failed keep the faults that they were found with, since a seed draws others from a longer list.

--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -24,6 +24,9 @@
 EVENTS = 24
 SEAL_HEADER = (b"x-response-seal", b"seal")
 SERVING_STATES = ("open", "closing")
+LETHAL_PART = "dead"
+"""Part of a prompt that crashes each engine that begins to write on it."""
+RESTART_S = 1.0
 
 
 def event(request_id: str, number: int) -> bytes:
@@ -38,6 +41,9 @@
         self.runs: collections.Counter[str] = collections.Counter()
         """Runs of calls that may run at most once, by request id."""
         self.violations: list[str] = []
+        self.lethal_arrivals_s: list[float] = []
+        """When requests with the lethal part reached engines."""
+        self.lethal_crashes_s: list[float] = []
 
     def record_violation(self, guarantee: str, detail: str) -> None:
         """Record the violation of a guarantee."""
@@ -54,6 +60,19 @@
         self.control = control
         self.random = random.Random(seed)
         self.servers: dict[str, Server] = {}
+        self.restarts: set[asyncio.Task] = set()
+
+    def restart_later(self, server: "Server", delay_s: float) -> None:
+        """Start a server that crashed again after a while."""
+
+        async def restart() -> None:
+            await asyncio.sleep(delay_s)
+            if not server.is_alive:
+                await server.restart()
+
+        task = asyncio.create_task(restart())
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
 
     async def add(self, service: str, domain: str, address: str) -> "Server":
         """Start a backend server and add it."""
@@ -82,6 +101,11 @@
         """Whether its announcements are lost."""
         self.loses_answers = False
         """Whether it runs calls but ends the connection without an answer."""
+        self.wait_s = 0.0
+        """The Retry-After with which it refuses calls; 0 if it takes them."""
+        self.is_leaving = False
+        self.arrivals_s: list[float] = []
+        """When calls reached it, in its current incarnation."""
         self.tasks: set[asyncio.Task] = set()
         self.reset_state()
 
@@ -102,6 +126,8 @@
         self.ready_epochs: set[int] = set()
         self.stalled_since_s: float | None = None
         self.heartbeat_url = ""
+        self.is_leaving = False
+        self.arrivals_s = []
 
     async def start(self) -> None:
         """Begin to listen and to announce itself."""
@@ -171,13 +197,30 @@
     async def announce(self) -> None:
         """Send a heartbeat to the first control node that accepts it."""
         body = json.dumps(self.heartbeat_body()).encode()
+        if self.announcements_lost or self.is_leaving:
+            return
+        await self.deliver(body)
+
+    async def leave(self) -> bool:
+        """Say once that it leaves; return whether control acknowledges it."""
+        self.is_leaving = True
+        for address in self._control_addresses():
+            path = f"/api/Instances.Deregister/{self.name}"
+            reply = await post(address, path, b"")
+            if reply is not None and reply[0] == 200:
+                return True
+        return False
+
+    def _control_addresses(self) -> list[str]:
         addresses = list(self.fleet.control)
         self.fleet.random.shuffle(addresses)
         if self.heartbeat_url:
             addresses.insert(0, self.heartbeat_url)
-        if self.announcements_lost:
-            return
-        for address in addresses:
+        return addresses
+
+    async def deliver(self, body: bytes) -> None:
+        """Deliver a heartbeat to the first control node that accepts it."""
+        for address in self._control_addresses():
             path = f"/api/Instances.Heartbeat/{self.name}"
             reply = await post(address, path, body)
             if reply is not None and reply[0] == 200:
@@ -310,9 +353,17 @@
             await self._refuse(exchange, 421 if self.rank else 503)
             return
         epoch = self.epoch
+        is_lethal = LETHAL_PART in exchange.header(b"x-prompt-prefix")
+        invariants = self.fleet.invariants
+        if is_lethal:
+            invariants.lethal_arrivals_s.append(time.monotonic())
         if not await self._wait_while_stalled(epoch):
             await self._refuse(exchange, 503)
             return
+        if is_lethal:
+            await asyncio.sleep(EVENT_S)
+            self._crash_and_restart()
+            return
         for name in self.members:
             member = self.fleet.servers.get(name)
             if member is not None and epoch not in member.ready_epochs:
@@ -332,6 +383,13 @@
             await exchange.send(event(request_id, number))
         await exchange.finish()
 
+    def _crash_and_restart(self) -> None:
+        if not self.is_alive:
+            return
+        self.fleet.invariants.lethal_crashes_s.append(time.monotonic())
+        self.crash()
+        self.fleet.restart_later(self, RESTART_S)
+
     async def _wait_while_stalled(self, epoch: int) -> bool:
         """Wait while the group is stalled; return whether it serves."""
         while self.epoch == epoch and self.state in SERVING_STATES:
@@ -342,6 +400,11 @@
 
     async def _run_once(self, exchange: http.Exchange) -> None:
         request_id = exchange.header(b"x-request-id")
+        self.arrivals_s.append(time.monotonic())
+        if self.wait_s:
+            retry_after = (b"retry-after", str(self.wait_s).encode())
+            await self._refuse(exchange, 503, retry_after)
+            return
         self.fleet.invariants.runs[request_id] += 1
         if self.fleet.invariants.runs[request_id] > 1:
             self.fleet.invariants.record_violation(
@@ -353,16 +416,20 @@
         body = f"filed {request_id}".encode()
         await exchange.respond(200, [*self._echo(exchange), SEAL_HEADER], body)
 
-    async def _refuse(self, exchange: http.Exchange, status: int) -> None:
+    async def _refuse(
+        self, exchange: http.Exchange, status: int, *headers: tuple
+    ) -> None:
         not_executed = (b"x-not-executed", b"1")
         await exchange.respond(
-            status, [*self._echo(exchange), not_executed], b""
+            status, [*self._echo(exchange), not_executed, *headers], b""
         )
 
     def _echo(self, exchange: http.Exchange) -> http.Headers:
+        leaving = [(b"server-leaving", b"1")] if self.is_leaving else []
         return [
             (b"x-request-id", exchange.header(b"x-request-id").encode()),
             (b"content-type", b"text/event-stream"),
+            *leaving,
         ]
 
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -40,6 +40,19 @@
 """Longer than the longest pause of a process."""
 APPLY_S = 2.0
 """Time within which gateways apply an acknowledged configuration."""
+CALM_S = 3.0
+"""Time after a fault of a program in which bounds in time do not hold."""
+LEAVE_S = 1.0
+"""Time after which a server whose departure was acknowledged gets no call."""
+WAIT_S = 2.0
+WAIT_NOTICE_S = 0.5
+"""Time within which a gateway heeds a wait that a server names."""
+MAX_CALLS_IN_WAIT = 2
+"""Calls of one gateway that may reach a server in its wait after that."""
+LETHAL_CRASHES = 5
+MAX_LETHAL_ARRIVALS = 3
+"""Requests with the lethal part that may reach engines later than CALM_S after
+that many crashes."""
 
 Action = collections.abc.Callable[["Soak"], collections.abc.Awaitable[None]]
 FAULTS: dict[str, Action] = {}
@@ -79,6 +92,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.last_fault_s = float("-inf")
         """When a fault was last injected."""
+        self.is_paused = False
         self.restart_lock = asyncio.Lock()
         """Held from the end of a process until its replacement is started."""
 
@@ -119,6 +133,14 @@
             )
         self.bootstrap = False
 
+    def is_calm(self, since_s: float) -> bool:
+        """Return whether no fault has hit it since CALM_S before then."""
+        return (
+            not self.is_paused
+            and not self.restart_lock.locked()
+            and self.last_fault_s < since_s - CALM_S
+        )
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         self.last_fault_s = time.monotonic()
@@ -159,7 +181,7 @@
         self.connection = None
 
     async def request(
-        self, path: str, request_id: str
+        self, path: str, request_id: str, parts: str = ""
     ) -> tuple[http.Answer, bytes]:
         """Make one request; raise OSError, RemoteProtocolError or TimeoutError.
 
@@ -176,6 +198,7 @@
                 ("x-request-deadline", str(DEADLINE_MS)),
                 ("x-model", "m"),
                 ("x-token-counts", "100,50"),
+                ("x-prompt-prefix", f"{parts}{request_id}:50"),
                 ("content-length", "0"),
             ],
         )
@@ -211,8 +234,11 @@
 class Soak:
     """A soak run with one seed."""
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, faults: dict[str, Action]
+    ) -> None:
         self.seed = seed
+        self.faults = faults
         self.random = random.Random(seed)
         self.net = _find_free_net()
         self.folder = folder
@@ -245,6 +271,11 @@
     def servers(self) -> list[emulator.Server]:
         return list(self.fleet.servers.values())
 
+    def is_calm(self, since_s: float) -> bool:
+        """Return whether all programs were in touch since then."""
+        programs = (*self.coordinators, *self.gateways)
+        return all(program.is_calm(since_s) for program in programs)
+
     async def run(self, duration_s: float) -> None:
         """Inject faults and record violations of the guarantees."""
         tasks: list[asyncio.Task] = []
@@ -260,10 +291,10 @@
             end_s = time.monotonic() + duration_s
             running: set[asyncio.Task] = set()
             while time.monotonic() < end_s:
-                name = self.random.choice(sorted(FAULTS))
+                name = self.random.choice(sorted(self.faults))
                 at_s = time.monotonic() - self.started_s
                 self.injected.append(f"{at_s:.2f} {name}")
-                running.add(asyncio.create_task(FAULTS[name](self)))
+                running.add(asyncio.create_task(self.faults[name](self)))
                 await asyncio.sleep(self.random.uniform(0.1, 2.0))
             for failed in await asyncio.gather(
                 *running, return_exceptions=True
@@ -292,6 +323,8 @@
             server.announced = proxy.listen
 
     async def _stop(self) -> None:
+        for task in self.fleet.restarts:
+            task.cancel()
         for server in self.servers:
             server.crash()
         for proxy in self.proxies:
@@ -418,7 +451,8 @@
         caller.close()
 
     async def _stream(self, caller: "Caller", request_id: str) -> None:
-        answer, body = await caller.request("/s/x", request_id)
+        parts = f"caller-{request_id.split('-')[1]}:50,"
+        answer, body = await caller.request("/s/x", request_id, parts)
         if answer.status != 200:
             self._record_refusal(answer)
             await asyncio.sleep(0.1)
@@ -512,7 +546,9 @@
     """Suspend a process for a while."""
     program = soak.random.choice([*soak.coordinators, *soak.gateways])
     program.send(signal.SIGSTOP)
+    program.is_paused = True
     await asyncio.sleep(soak.random.uniform(0.2, 4.0))
+    program.is_paused = False
     program.send(signal.SIGCONT)
 
 
@@ -604,13 +640,98 @@
         await asyncio.sleep(0.1)
 
 
-async def run_seed(seed: int, duration_s: float, folder: pathlib.Path) -> Soak:
+@fault
+async def leave_server(soak: Soak) -> None:
+    """Let a plain server leave; an announcement of it arrives late."""
+    plain_servers = [each for each in soak.servers if each.service == "desk"]
+    if any(each.is_leaving or not each.is_alive for each in plain_servers):
+        return
+    server = soak.random.choice(plain_servers)
+    late = json.dumps(server.heartbeat_body()).encode()
+    while not await server.leave():
+        if not server.is_alive:
+            return
+        await asyncio.sleep(0.2)
+    left_s = time.monotonic()
+    await asyncio.sleep(soak.random.uniform(0.1, 3.0))
+    await server.deliver(late)
+    await asyncio.sleep(soak.random.uniform(0.5, 2.0))
+    last_s = max(server.arrivals_s, default=0.0)
+    if last_s > left_s + LEAVE_S and soak.is_calm(left_s):
+        soak.invariants.record_violation(
+            "a server that left gets nothing",
+            f"{server.name}: a call {last_s - left_s:.2f} s after it",
+        )
+    if server.is_leaving and server.is_alive:
+        server.crash()
+        await server.restart()
+
+
+@fault
+async def ask_to_wait(soak: Soak) -> None:
+    """Let a plain server refuse calls and name a wait."""
+    plain_servers = [each for each in soak.servers if each.service == "desk"]
+    server = soak.random.choice(plain_servers)
+    if server.wait_s:
+        return
+    name = server.name
+    server.wait_s = WAIT_S
+    began_s = time.monotonic()
+    await asyncio.sleep(WAIT_S)
+    server.wait_s = 0.0
+    first_s = min((t for t in server.arrivals_s if t > began_s), default=0.0)
+    late = [t for t in server.arrivals_s if t > first_s + WAIT_NOTICE_S]
+    if (
+        len(late) > GATEWAYS * MAX_CALLS_IN_WAIT
+        and server.name == name
+        and first_s
+        and soak.is_calm(began_s)
+    ):
+        soak.invariants.record_violation(
+            "a server that waits gets nothing", f"{name}: {len(late)} calls"
+        )
+
+
+@fault
+async def send_lethal_prompts(soak: Soak) -> None:
+    """Send requests with a part that crashes engines, to any gateway."""
+    caller = Caller()
+    for count in range(8):
+        gateway = soak.random.choice(soak.gateways)
+        await caller.open(gateway.address(FRONT_PORT))
+        request_id = f"{soak.seed}-lethal-{time.monotonic()}-{count}"
+        parts = (
+            f"caller-{soak.random.randrange(4)}:50,{emulator.LETHAL_PART}:9,"
+        )
+        with contextlib.suppress(
+            OSError, h11.RemoteProtocolError, TimeoutError
+        ):
+            await caller.request("/s/x", request_id, parts)
+        caller.close()
+        await asyncio.sleep(soak.random.uniform(0.05, 0.4))
+    crashes_s = soak.invariants.lethal_crashes_s
+    if len(crashes_s) < LETHAL_CRASHES:
+        return
+    bound_s = crashes_s[LETHAL_CRASHES - 1] + CALM_S
+    late = [t for t in soak.invariants.lethal_arrivals_s if t > bound_s]
+    if len(late) > MAX_LETHAL_ARRIVALS and soak.is_calm(bound_s):
+        soak.invariants.record_violation(
+            "lethal prompts are kept from engines", f"{len(late)} arrived"
+        )
+
+
+async def run_seed(
+    seed: int,
+    duration_s: float,
+    folder: pathlib.Path,
+    faults: dict[str, Action] = FAULTS,
+) -> Soak:
     """Run one seed; SIGTERM ends everything that it started."""
     task = asyncio.current_task()
     assert task is not None
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, faults)
     try:
         await soak.run(duration_s)
     finally:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -11,9 +11,21 @@
     8: "the same, beside a coordinator that was killed",
     1: "never failed",
 }
+LATER_FAULTS = {"ask_to_wait", "leave_server", "send_lethal_prompts"}
+"""Faults that did not exist yet as these seeds were found. A seed draws other
+faults if there are more to draw from."""
+SEEDS_OF_ALL_FAULTS = {
+    400: "never failed",
+}
 DURATION_S = 8.0
 
 
+def check(result: soak.Soak) -> None:
+    assert result.invariants.violations == []
+    assert result.served > 0
+    assert result.acknowledged > 0
+
+
 @pytest.mark.parametrize("seed", sorted(SEEDS))
 def test_soak_violates_no_guarantee(tmp_path, seed):
     """Guards against guarantees broken by faults of processes and links.
@@ -21,7 +33,15 @@
     Processes are killed and paused and links cut while the configuration
     changes and calls are made.
     """
-    result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path))
-    assert result.invariants.violations == []
-    assert result.served > 0
-    assert result.acknowledged > 0
+    faults = {
+        name: action
+        for name, action in soak.FAULTS.items()
+        if name not in LATER_FAULTS
+    }
+    check(asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults)))
+
+
+@pytest.mark.parametrize("seed", sorted(SEEDS_OF_ALL_FAULTS))
+def test_soak_with_all_faults_violates_no_guarantee(tmp_path, seed):
+    """The same, and backend servers leave, name waits or crash on prompts."""
+    check(asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path)))
