Acknowledge a drain only once it is stored, also if it is sent again

Found in the review of this change: the first copy of a draining announcement got 503 as its commit failed, and the same announcement sent again was outdated by itself and acknowledged without being stored.

--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -596,8 +596,9 @@
                 evidence.reached_s = now_s
                 evidence.silent_s = None
                 evidence.refused = False
-            if call.announcement.state is fleet_module.BackendState.DRAINING:
-                await self._store_drain(call.announcement)
+        if call.announcement.state is fleet_module.BackendState.DRAINING:
+            # Also if it is outdated: its first copy may not have been stored.
+            await self._store_drain(call.announcement)
         raise Reply(
             200,
             self.platform.encode_announced(self.settings.http_listen),
--- a/tests/direct/test_departures.py
+++ b/tests/direct/test_departures.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from flamingocleat import errors
 from flamingocleat import messages
 from flamingocleat.connection import feed
 from flamingocleat.process import gateway
@@ -76,6 +77,29 @@
     coordinators.run_scenario(tmp_path, scenario)
 
 
+def test_drain_is_acknowledged_only_once_it_is_stored(tmp_path):
+    """A server that sends the same announcement again must not be told so."""
+
+    async def scenario(cluster):
+        leader = await cluster.leader()
+        propose, failures = leader.consensus.propose, 2
+
+        async def fail_at_first(command):
+            nonlocal failures
+            failures -= 1
+            if failures >= 0:
+                raise errors.CommitUnknownError("no quorum")
+            return await propose(command)
+
+        leader.consensus.propose = fail_at_first
+        draining = announcement(state=fleet.BackendState.DRAINING)
+        await cluster.announce(draining)
+        assert failures < 0
+        assert set(leader.machine.withdrawals) == {"b-1"}
+
+    coordinators.run_scenario(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("leaders", [1, 2])
 def test_server_returns_in_a_new_lifetime(tmp_path, leaders):
     """A server that starts again under its name must be used."""
