--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -33,6 +33,9 @@
 CONNECT_TIMEOUT_S = 0.3
 """Timeout for opening a connection within a region; a lost packet is
 retransmitted after 0.2 s."""
+END_CHECK_TIMEOUT_S = 0.1
+"""Timeout of the check whether a head has ended. One whose process has ended
+refuses connections at once."""
 MAX_CONNECTS = 3
 """Bound on the servers that are tried until one accepts a connection."""
 FIRST_ATTEMPT_FRACTION = 0.6
@@ -441,7 +444,9 @@
             reason = attempt.interrupted or str(error)
             if not attempt.interrupted:
                 candidate.mark_failed(time.monotonic())
-                if candidate.view.model and not attempt.writing:
+                if not attempt.writing and await self._has_ended(
+                    call, candidate
+                ):
                     self.guard.record_crash(candidate.view.group, call.parts)
             raise AttemptError(Failure.UNKNOWN, reason) from error
         finally:
@@ -449,6 +454,27 @@
             if attempt.client is not None:
                 attempt.client.close()
 
+    async def _has_ended(
+        self, call: Call, candidate: candidates_module.Candidate
+    ) -> bool:
+        """Return whether a head has ended, which its prompts may have caused.
+
+        A faulty head, or a link that is reset, breaks answers off as well.
+        """
+        if not candidate.view.model or not call.parts:
+            return False
+        if candidate.refused:
+            return True
+        try:
+            client = await http.Client.open(
+                candidate.view.address, END_CHECK_TIMEOUT_S
+            )
+        except http.ConnectError as error:
+            candidate.refused = error.refused
+            return error.refused
+        client.close()
+        return False
+
     async def _connect(self, attempt: Attempt) -> http.Client:
         candidate = attempt.candidate
         try:
--- a/tests/direct/test_crash_guard.py
+++ b/tests/direct/test_crash_guard.py
@@ -184,6 +184,27 @@
     support.run_scenario(scenario)
 
 
+def test_heads_that_break_answers_off_keep_no_caller_out():
+    """A fault of the heads or links must not be blamed on prompts."""
+
+    async def scenario(harness):
+        async def break_off(received):
+            await received.send(received.response_head(200, "X-Odd: 1")[:20])
+
+        for _ in range(3):
+            await harness.add(break_off, "llm")
+        for number in range(6):
+            await harness.request(
+                "/stream/x", flamingocleat_prompt_parts=f"aa08:1,{number}:1"
+            )
+        assert sum(len(each.received) for each in harness.backends) >= 6
+        record = harness.forwarder.guard.crashes
+        assert record.verdict("aa08") is crashes.Verdict.CLEAR
+        assert record.crashes == {}
+
+    support.run_scenario(scenario)
+
+
 def test_one_request_at_a_time_tries_a_suspect_part():
     """Others must wait for its outcome, and are served if it is sound."""
 
