--- a/tests/direct/test_crash_guard.py
+++ b/tests/direct/test_crash_guard.py
@@ -106,6 +106,16 @@
     return sound, lethal
 
 
+def check_callers_and_servers(
+    engines: Engines, sound: list[support.Reply], lethal: list[support.Reply]
+) -> None:
+    assert engines.ended <= 5
+    assert engines.lethal_arrivals <= 8
+    assert all(reply.status in (502, 503) for reply in lethal)
+    served = [reply for reply in sound if reply.is_complete]
+    assert len(served) >= 0.95 * len(sound)
+
+
 def test_prompt_part_that_ends_servers_is_kept_from_them():
     """Servers must not end one after the other, nor its callers be shut out."""
 
@@ -114,11 +124,7 @@
         for _ in range(5):
             await engines.add()
         sound, lethal = await play(engines, 3.0, seed=1)
-        assert engines.ended <= 5
-        assert engines.lethal_arrivals <= 8
-        assert all(reply.status in (502, 503) for reply in lethal)
-        served = [reply for reply in sound if reply.is_complete]
-        assert len(served) >= 0.95 * len(sound)
+        check_callers_and_servers(engines, sound, lethal)
 
     support.run_scenario(scenario)
 
@@ -134,11 +140,7 @@
         for _ in range(5):
             await engines.add()
         sound, lethal = await play(engines, 3.0, seed=2)
-        assert engines.ended <= 5
-        assert engines.lethal_arrivals <= 8
-        assert all(reply.status in (502, 503) for reply in lethal)
-        served = [reply for reply in sound if reply.is_complete]
-        assert len(served) >= 0.95 * len(sound)
+        check_callers_and_servers(engines, sound, lethal)
         await second.close()
 
     support.run_scenario(scenario)
