--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -171,7 +171,8 @@
         ]
         self.servers: dict[str, Server] = {}
         self.has_requests = False
-        self.counter = 0
+        self.leader = ""
+        """The node that acknowledged last."""
 
     def address(self, number: int) -> str:
         """Return an address for a backend server."""
@@ -195,13 +196,17 @@
         body = json.dumps(config).encode()
         end_s = time.monotonic() + within_s
         while time.monotonic() < end_s:
-            for address in self.control:
-                status, _, text = await call(
-                    address, "POST", "/api/Config.Replace", body
+            addresses = [self.leader] if self.leader else []
+            for address in [*addresses, *self.control]:
+                status, headers, text = await call(
+                    address, "POST", "/api/Config.Replace", body,
+                    1.0 + len(body) / 1e6,
                 )
                 if status == 200:
                     self.record.note(f"config {config['version']} acknowledged")
+                    self.leader = headers["answered-by"]
                     return
+                self.leader = ""
                 if status in (400, 409, 412, 413, 422):
                     raise CannotRunError(f"config refused: {text!r}")
             await asyncio.sleep(0.2)
@@ -281,6 +286,7 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return 0, {}, b""
         if status != "307":
+            headers["answered-by"] = address
             return int(status), headers, text
         address = headers["location"].removeprefix("http://").partition("/")[0]
     return 0, {}, b""
@@ -823,13 +829,13 @@
     }
 
 
-def main(folder: pathlib.Path, case) -> int:
+def main(folder: pathlib.Path, case, place_type: type[Place] = Place) -> int:
     """Run a case; return 1 if a rule was broken, 0 if not, 2 if it failed."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
 
     async def run() -> int:
-        place = Place(record)
+        place = place_type(record)
         loop = asyncio.get_running_loop()
         task = asyncio.current_task()
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
