Refuse orders for another instance in the review's stand-ins

An order for another id has to get 421, one that stages what is staged 200; a script that was stopped from outside exited with 1, which means a broken rule, and now exits with 2.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -440,13 +440,13 @@
             (method, target, _), headers = found
             length = int(headers.get("content-length", "0"))
             body = await reader.readexactly(length)
-            if target == "/api/order":
-                status = self._order(json.loads(body))
-                self._reply(writer, status, headers)
-            elif target == "/health":
+            if target == "/health":
                 self._reply(writer, 503 if self.leaving else 200, headers)
-            elif headers.get("x-expect-instance") != self.name:
+            elif headers.get("x-expect-instance", self.name) != self.name:
                 self._refuse(writer, headers, 421)
+            elif target == "/api/order":
+                status = self._order(json.loads(body))
+                self._reply(writer, status, headers)
             elif self.models:
                 await self._stream(reader, writer, headers)
             else:
@@ -584,6 +584,8 @@
     def _order(self, order: dict) -> int:
         op = order["op"]
         self.place.record.note(f"{self.name} gets the order {json.dumps(order)}")
+        if op == "stage" and order["model"] == self.staged:
+            return 200
         if op == "stage":
             self.spawn(self._load(order["model"]))
             return 202
@@ -852,7 +854,7 @@
 
     try:
         result = asyncio.run(run())
-    except Exception as error:
+    except BaseException as error:  # Also if it is stopped from outside.
         record.note(f"cannot run: {error!r}")
         result = 2
     print("\n".join(record.broken) or f"no rule was broken (result {result})")
