--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -208,6 +208,7 @@
         self, candidate: candidates_module.Candidate, call: Call
     ) -> None:
         self.candidate = candidate
+        self.request_id = call.request_id
         self.started_s = time.monotonic()
         self.writing = False
         self.prompt_tokens = call.demand.prompt_tokens
@@ -219,6 +220,16 @@
         """Abort the attempt if its request may be retried elsewhere."""
         if self.can_retry and not self.interrupted:
             self.interrupted = reason
+            logs.info(
+                _log,
+                "attempt_interrupted",
+                request=self.request_id,
+                backend=self.candidate.view.backend,
+                group=self.candidate.view.group,
+                connected=self.client is not None,
+                writing=self.writing,
+                reason=reason,
+            )
             if self.client is not None:
                 self.client.close()
 
