Do not take a connection that the gateway closed for the end of an answer

Cause: the gateway interrupts the attempts at a silent head by aborting their connections. asyncio reports an abort to the reader as an orderly end, and h11 takes that for the end of a body without a length. Ruled out: heads that end answers (their logs), and an answer counted as whole by its events (the same streams in chunks or with a length were resumed).

Change: reads of a client that was closed on this side raise BrokenAnswerError. This holds for streams, calls and heads of answers, in any framing, since it sits where the connection is read.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -383,6 +383,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.received_bytes = 0
         self.body_bytes = 0
+        self.closed = False
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "Client":
@@ -445,13 +446,21 @@
         return bytes(body)
 
     def close(self) -> None:
-        """Abort the connection, which also stops the server's work."""
+        """Abort the connection, which also stops the server's work.
+
+        A read that waits, or that follows, raises BrokenAnswerError.
+        """
+        self.closed = True
         self.writer.transport.abort()
 
     async def _next_event(self) -> typing.Any:
         try:
             while (event := self.http.next_event()) is h11.NEED_DATA:
                 data = await self.reader.read(_READ_BYTES)
+                if self.closed:
+                    # asyncio reports it as an orderly end by the server, which
+                    # would complete an answer without a length.
+                    raise BrokenAnswerError("closed on this side")
                 self.http.receive_data(data)
                 self._count_received(data)
         except (OSError, h11.RemoteProtocolError) as error:
