Send no request whose attempt was interrupted while it connected

Callers saw: a request that was connecting to a head as the head was found silent was sent to it all the same, and no later check ended it, since an attempt is interrupted once. It waited for the head's stall time or its own deadline.

Cause: Attempt.interrupt closed the client only if there was one.

Change: an attempt that was interrupted by the time it is connected fails as not sent, which is true, so that its request goes elsewhere without using the retry budget. test_attempt_interrupted_while_it_connects_is_not_sent failed before and passes now.

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -501,6 +501,8 @@
             raise AttemptError(Failure.NOT_SENT, str(error)) from error
         attempt.client = client
         attempt.started_s = time.monotonic()
+        if attempt.interrupted:
+            raise AttemptError(Failure.NOT_SENT, attempt.interrupted)
         return client
 
     def _headers(
--- a/tests/direct/test_interruptions.py
+++ b/tests/direct/test_interruptions.py
@@ -114,3 +114,29 @@
             await client.read()
 
     support.run_scenario(scenario)
+
+
+# An attempt that was interrupted while it connected was sent all the same, and
+# could not be interrupted again.
+def test_attempt_interrupted_while_it_connects_is_not_sent(monkeypatch):
+    async def scenario(harness):
+        first = await harness.add(answer_done)
+        second = await harness.add(answer_done)
+        connect = http.Client.open
+
+        async def connect_slowly(address, timeout_s):
+            if address == first.address:
+                await asyncio.sleep(0.2)
+            return await connect(address, timeout_s)
+
+        monkeypatch.setattr(http.Client, "open", connect_slowly)
+        request = asyncio.create_task(harness.request("/read/x"))
+        while not harness.candidate(0).attempts:
+            await asyncio.sleep(0.01)
+        for attempt in list(harness.candidate(0).attempts):
+            attempt.interrupt("head is silent")
+        reply = await request
+        assert (reply.status, reply.body) == (200, b"done")
+        assert (len(first.received), len(second.received)) == (0, 1)
+
+    support.run_scenario(scenario)
