Reset the connections of HTTP/1.0 callers whose answers are broken off

An answer to HTTP/1.0 has no length and ends with its connection. The gateway breaks one off by aborting its transport, which closes the socket; without unread bytes the kernel then ends the connection in order, and the part of the answer looked complete.

Change: such connections are closed with a linger time of zero, which resets them. Answers to HTTP/1.1 are in chunks or have a length, and their connections are closed as before.

test_broken_answer_to_an_http_1_0_caller_is_reset failed before and passes now.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import socket
+import struct
 import time
 import typing
 
@@ -42,6 +43,8 @@
 of chunks, after which the connection is closed."""
 MAX_INTERIM_ANSWERS = 16
 """Interim answers (1xx) after which a server counts as faulty."""
+_RESET = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -160,7 +163,7 @@
         """Receive bytes; abort if the caller pipelines too many."""
         self.unread_bytes += len(data)
         if not self.idle and self.unread_bytes > MAX_UNREAD_BYTES:
-            self.transport.abort()
+            self.abort()
             return
         self.http.receive_data(data)
         self.data_arrived.set()
@@ -198,6 +201,10 @@
 
     def abort(self) -> None:
         """Abort the connection, so that no partial answer looks complete."""
+        if self.http.their_http_version == b"1.0":
+            # Answers to HTTP/1.0 have no length and end with an orderly close.
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self.transport.abort()
 
     async def _serve(self) -> None:
@@ -205,7 +212,7 @@
             while await self._serve_next():
                 pass
         except TimeoutError:
-            self.transport.abort()
+            self.abort()
         except (h11.RemoteProtocolError, RefusedRequestError) as error:
             await self._refuse(error)
         finally:
@@ -222,7 +229,7 @@
             await self.server.handle(exchange)
         finally:
             if not exchange.finished:
-                self.transport.abort()
+                self.abort()
         if self.http.our_state is h11.MUST_CLOSE or self.server.draining:
             return False
         try:
@@ -281,7 +288,7 @@
         )
         logs.info(_log, "request_refused", status=status, reason=str(error))
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self.transport.abort()
+            self.abort()
             return
         body = f"{error}\n".encode()
         self.write(
--- a/tests/direct/test_interruptions.py
+++ b/tests/direct/test_interruptions.py
@@ -140,3 +140,28 @@
         assert (len(first.received), len(second.received)) == (0, 1)
 
     support.run_scenario(scenario)
+
+
+# A caller that speaks HTTP/1.0 gets answers without a length, and took the
+# orderly close of a broken one for its end.
+def test_broken_answer_to_an_http_1_0_caller_is_reset():
+    async def break_off(received):
+        await received.send_events(1, 4, end=False)
+
+    async def scenario(harness):
+        await harness.add(break_off, "llm")
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.port
+        )
+        writer.write(
+            b"POST /fixed/x HTTP/1.0\r\nHost: front.example\r\n"
+            b"X-Api-Key: key-1\r\nX-Request-Id: id-1\r\n"
+            b"Flamingocleat-Model: large\r\n\r\n"
+        )
+        try:
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+        finally:
+            writer.close()
+
+    support.run_scenario(scenario)
