Keep what is known of a backend server by its lifetime

The VM had returned under its id after its address went to another service.

Cause: the id of a server whose address was taken over stayed in Fleet.superseded until the end of the leader's term, so a later lifetime of that server counted as ended: its group as a head, and as absent as a member. The same kind of memory by id was found for the evidence of reachability, for gateways' reports on heads, and for gateways' candidates.

Change: ids.Lifetime is the key of all of them; groups remember the lifetimes of their members; reports on heads name the lifetime (a field with a default, so that builds can be mixed). test_fleet compares the set with lifetimes instead of ids, test_groups sets heads with their lifetime; both are as strict.

--- a/src/flamingocleat/ids.py
+++ b/src/flamingocleat/ids.py
@@ -29,6 +29,25 @@
 BackendId = typing.NewType("BackendId", str)
 """A backend server that announces itself."""
 
+
+class Lifetime(typing.NamedTuple):
+    """One run of a backend server.
+
+    A server may start again under its id, also at another address, and knows
+    nothing of before. What is remembered of a server is kept by lifetime.
+    """
+
+    backend: BackendId
+    born_ms: int
+    """Its start as Unix time in milliseconds; 0 if it is not known."""
+
+    def is_before(self, later: "Lifetime") -> bool:
+        """Return whether a later lifetime of the server shows that it ended."""
+        return (
+            self.backend == later.backend and 0 < self.born_ms < later.born_ms
+        )
+
+
 PromptPart = typing.NewType("PromptPart", str)
 """A part of a prompt that other requests may share."""
 
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -417,6 +417,8 @@
     service: ids.ServiceId = ids.ServiceId("")
     group: str = ""
     """Group that it leads, according to the gateway's view."""
+    born_ms: int = 0
+    """Start of its lifetime as Unix time; 0 if unknown."""
 
 
 class ModelDemand(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -320,9 +320,14 @@
         for head in report.heads:
             responsible = self.managers.get(head.service)
             if responsible is not None:
-                responsible.adoption.heads[head.group] = head.backend
+                lifetime = (
+                    ids.Lifetime(head.backend, head.born_ms)
+                    if head.born_ms
+                    else responsible.latest_lifetime(head.backend)
+                )
+                responsible.adoption.heads[head.group] = lifetime
                 self._record_head_report(
-                    responsible.evidence_of(head.backend), head, now_s
+                    responsible.evidence_of_lifetime(lifetime), head, now_s
                 )
 
     def _record_head_report(
--- a/src/flamingocleat/version/adoption.py
+++ b/src/flamingocleat/version/adoption.py
@@ -5,6 +5,8 @@
 no longer be open.
 """
 
+import collections.abc
+
 import msgspec
 
 from flamingocleat import ids
@@ -30,6 +32,9 @@
 """How long an ended group is remembered; announcements delayed by a partition
 may arrive after its end."""
 
+UNKNOWN_LIFETIME = ids.Lifetime(group_module.UNKNOWN_MEMBER, 0)
+"""Stands for a head that no gateway has reported."""
+
 MembersByRank = dict[int, fleet_module.Backend]
 """Members of a group that have announced themselves, by rank."""
 
@@ -55,6 +60,10 @@
         first = self.members_by_rank[min(self.members_by_rank)]
         return engine.find_model(first.announcement.model)
 
+    def lifetimes(self) -> dict[ids.BackendId, ids.Lifetime]:
+        """Return the lifetimes of the members that announced themselves."""
+        return lifetimes_of(self.members_by_rank.values())
+
     def members(self, model: catalog_module.Model) -> tuple[ids.BackendId, ...]:
         """Return all members, with a placeholder for unknown ones."""
         return tuple(
@@ -74,7 +83,7 @@
         """When this leader ended a group, by the name of the group."""
         self.orphaned_since_s: dict[str, float] = {}
         """When a group was first seen without its head, by its name."""
-        self.heads: dict[str, ids.BackendId] = {}
+        self.heads: dict[str, ids.Lifetime] = {}
         """Heads that gateways have reported, by the name of the group."""
 
     def is_from_this_term(self, epoch: ids.Epoch) -> bool:
@@ -118,6 +127,7 @@
             head_address=head.announcement.address,
             phase=group_module.Phase.CLOSING if own else phase,
             since_s=now_s,
+            lifetimes=reported.lifetimes(),
             reason="the group was ended before" if own else "",
         )
         logs.info(
@@ -154,22 +164,23 @@
         model = reported.model(engine)
         if model is None:
             return None
-        head = self.heads.get(reported.name, group_module.UNKNOWN_MEMBER)
+        head = self.heads.get(reported.name, UNKNOWN_LIFETIME)
         found = group_module.Group(
             name=reported.name,
             epoch=reported.epoch,
             model=model.name,
-            members=(head, *reported.members(model)[1:]),
+            members=(head.backend, *reported.members(model)[1:]),
             head_address="",
             phase=group_module.Phase.CLOSING,
             since_s=now_s,
+            lifetimes={head.backend: head, **reported.lifetimes()},
             reason="the head has not announced itself",
         )
         logs.info(
             _log,
             "orphans_found",
             group=found.name,
-            head=head,
+            head=head.backend,
             members=",".join(found.members),
             waited_s=round(now_s - self.orphaned_since_s[reported.name], 3),
         )
@@ -207,6 +218,18 @@
         else member
         for rank, member in enumerate(group.members)
     )
+    for backend, lifetime in lifetimes_of(ranks.values()).items():
+        group.lifetimes.setdefault(backend, lifetime)
+
+
+def lifetimes_of(
+    backends: collections.abc.Iterable[fleet_module.Backend],
+) -> dict[ids.BackendId, ids.Lifetime]:
+    """Return the current lifetimes of servers, by their ids."""
+    return {
+        each.announcement.backend: each.announcement.lifetime
+        for each in backends
+    }
 
 
 def _is_ready(backend: fleet_module.Backend) -> bool:
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -69,9 +69,9 @@
         self.failures = 0
 
     @property
-    def lifetime(self) -> notices_module.Lifetime:
+    def lifetime(self) -> ids.Lifetime:
         """The server's current lifetime."""
-        return self.view.backend, self.view.born_ms
+        return ids.Lifetime(self.view.backend, self.view.born_ms)
 
     @property
     def wait_until_s(self) -> float:
@@ -188,6 +188,7 @@
             refused=self.refused,
             service=self.view.service,
             group=self.view.group,
+            born_ms=self.view.born_ms,
         )
 
 
@@ -215,7 +216,7 @@
         known, self.by_backend = self.by_backend, {}
         for view in backends:
             old = known.get(view.backend)
-            if old is not None and old.view.group == view.group:
+            if old is not None and _continues(old.view, view):
                 old.view = view
                 self.by_backend[view.backend] = old
             else:
@@ -269,3 +270,10 @@
         """Call all registered callbacks."""
         for callback in self.listeners:
             callback()
+
+
+def _continues(
+    before: messages.ServedBackend, after: messages.ServedBackend
+) -> bool:
+    """Return whether what was observed of a server still holds."""
+    return (before.group, before.born_ms) == (after.group, after.born_ms)
--- a/src/flamingocleat/version/fleet.py
+++ b/src/flamingocleat/version/fleet.py
@@ -66,6 +66,11 @@
     """Model of the group that this server belongs to, if any."""
     group: GroupReport | None = None
 
+    @property
+    def lifetime(self) -> ids.Lifetime:
+        """The lifetime of the server that this says something of."""
+        return ids.Lifetime(self.backend, self.born_ms)
+
 
 class Withdrawal(msgspec.Struct, frozen=True):
     """A backend server drains or has left.
@@ -113,8 +118,8 @@
         """Backend servers that announce an address."""
         self.withdrawals: dict[ids.BackendId, tuple[Withdrawal, float]] = {}
         """The last withdrawal of each server, and when it was received."""
-        self.superseded: set[ids.BackendId] = set()
-        """Servers that have ended: a later lifetime took over their address."""
+        self.superseded: set[ids.Lifetime] = set()
+        """Lifetimes that have ended: a later one took over their address."""
         self.listeners: list[collections.abc.Callable[[], None]] = []
 
     def announce(self, announcement: Announcement, now_s: float) -> bool:
@@ -142,7 +147,7 @@
             self.withdraw(
                 Withdrawal(ended.backend, ended.born_ms, FINAL_SEQUENCE), now_s
             )
-            self.superseded.add(ended.backend)
+            self.superseded.add(ended.lifetime)
         same_lifetime = (
             known is not None
             and known.announcement.born_ms == announcement.born_ms
@@ -229,6 +234,17 @@
             is BackendState.DRAINING
         )
 
+    def has_ended(self, lifetime: ids.Lifetime) -> bool:
+        """Return whether a later lifetime shows that this one has ended.
+
+        It may be one of the same server, or one at its address.
+        """
+        known = self.backends.get(lifetime.backend)
+        return lifetime in self.superseded or (
+            known is not None
+            and lifetime.is_before(known.announcement.lifetime)
+        )
+
     def forget(self, backend: ids.BackendId, now_s: float) -> None:
         """Remove a backend server that counts as lost.
 
--- a/src/flamingocleat/version/group.py
+++ b/src/flamingocleat/version/group.py
@@ -49,6 +49,10 @@
     phase: Phase
     since_s: float
     """Start of the phase."""
+    lifetimes: dict[ids.BackendId, ids.Lifetime] = msgspec.field(
+        default_factory=dict
+    )
+    """Lifetimes of the members that are known; a later one is no member."""
     finish_work: bool = False
     reason: str = ""
     """Why the group is being closed."""
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -92,7 +92,7 @@
         self.engine: catalog_module.Engine | None = None
         self.groups: dict[str, Group] = {}
         self.adoption = adoption_module.Adoption(term)
-        self.evidence: dict[ids.BackendId, group_module.Evidence] = {}
+        self.evidence: dict[ids.Lifetime, group_module.Evidence] = {}
         self.sent_s: dict[Order, float] = {}
         self.load_planner = weights.LoadPlanner()
         self.nearly_full_since_s: dict[str, float] = {}
@@ -167,8 +167,29 @@
         return list(found.values())
 
     def evidence_of(self, backend: ids.BackendId) -> group_module.Evidence:
-        """Return the mutable liveness evidence of a VM."""
-        return self.evidence.setdefault(backend, group_module.Evidence())
+        """Return the mutable liveness evidence of a VM's latest lifetime."""
+        return self.evidence_of_lifetime(self.latest_lifetime(backend))
+
+    def evidence_of_lifetime(
+        self, lifetime: ids.Lifetime
+    ) -> group_module.Evidence:
+        """Return the mutable liveness evidence of a VM's lifetime."""
+        return self.evidence.setdefault(lifetime, group_module.Evidence())
+
+    def latest_lifetime(self, backend: ids.BackendId) -> ids.Lifetime:
+        """Return the latest lifetime of a VM that is known here."""
+        known = self.fleet.backends.get(backend)
+        if known is not None:
+            return known.announcement.lifetime
+        # Gateways may report on a head that has not announced itself yet.
+        return max(
+            (
+                head
+                for head in self.adoption.heads.values()
+                if head.backend == backend
+            ),
+            default=ids.Lifetime(backend, 0),
+        )
 
     # Orders.
 
@@ -239,9 +260,9 @@
         if not self.adoption.is_orphaned(reported, now_s):
             return None
         head = self.adoption.heads.get(
-            reported.name, group_module.UNKNOWN_MEMBER
+            reported.name, adoption_module.UNKNOWN_LIFETIME
         )
-        if self.evidence_of(head).serves(now_s):
+        if self.evidence_of_lifetime(head).serves(now_s):
             return None
         return self.adoption.close_orphans(reported, self.engine, now_s)
 
@@ -351,7 +372,7 @@
         absent = [
             member
             for member in group.members[1:]
-            if member in self.fleet.superseded
+            if self._has_lifetime_ended(group, member)
             or (
                 member in self.fleet.backends
                 and self._reported_state(member, group) is None
@@ -413,7 +434,7 @@
                 return True
             if report.state is fleet_module.GroupState.BROKEN:
                 return True
-        if group.head in self.fleet.superseded:
+        if self._has_lifetime_ended(group, group.head):
             return True
         if group.member_left_s is not None:
             stalled_s = now_s - group.member_left_s
@@ -426,6 +447,11 @@
         )
         return now_s - last_s > self.settings.stall_s + UNREACHABLE_MARGIN_S
 
+    def _has_lifetime_ended(self, group: Group, member: ids.BackendId) -> bool:
+        """Return whether the lifetime that was a group's member has ended."""
+        lifetime = group.lifetimes.get(member)
+        return lifetime is not None and self.fleet.has_ended(lifetime)
+
     def _close_if_incomplete(self, group: Group, now_s: float) -> bool:
         draining = [
             member
@@ -605,6 +631,7 @@
             head_address=hosts[0].announcement.address,
             phase=phase,
             since_s=now_s,
+            lifetimes=adoption_module.lifetimes_of(hosts),
         )
         self.groups[group.name] = group
         survey.add(group, hosts, self.capacity(group))
@@ -857,8 +884,12 @@
         }
         known = set(self.fleet.backends)
         known.update(m for g in self.groups.values() for m in g.members)
-        known.update(self.adoption.heads.values())
-        self.evidence = {b: e for b, e in self.evidence.items() if b in known}
+        known.update(head.backend for head in self.adoption.heads.values())
+        self.evidence = {
+            lifetime: evidence
+            for lifetime, evidence in self.evidence.items()
+            if lifetime.backend in known and not self.fleet.has_ended(lifetime)
+        }
         self.load_planner.trim(known)
 
 
--- a/src/flamingocleat/version/notices.py
+++ b/src/flamingocleat/version/notices.py
@@ -23,9 +23,6 @@
 LEAVING = "1"
 """The only value of the header that means that the server leaves."""
 
-Lifetime = tuple[ids.BackendId, int]
-"""A server and the start of its lifetime as Unix time in milliseconds."""
-
 
 class Notice(msgspec.Struct):
     """What one lifetime of a server has said."""
@@ -45,15 +42,15 @@
     """Notices of all servers, the latest last."""
 
     def __init__(self) -> None:
-        self.by_lifetime: collections.OrderedDict[Lifetime, Notice] = (
+        self.by_lifetime: collections.OrderedDict[ids.Lifetime, Notice] = (
             collections.OrderedDict()
         )
 
-    def find(self, lifetime: Lifetime) -> Notice:
+    def find(self, lifetime: ids.Lifetime) -> Notice:
         """Return the notice of a lifetime, or one that says nothing."""
         return self.by_lifetime.get(lifetime, NO_NOTICE)
 
-    def record_leaving(self, lifetime: Lifetime, value: str) -> None:
+    def record_leaving(self, lifetime: ids.Lifetime, value: str) -> None:
         """Record the header of an answer that says whether a server leaves.
 
         Only "1" counts. It holds for the rest of the lifetime, since a server
@@ -64,7 +61,9 @@
         self._notice(lifetime).is_leaving = True
         logs.info(_log, "server_leaves", backend=lifetime[0], born=lifetime[1])
 
-    def record_wait(self, lifetime: Lifetime, value: str, now_s: float) -> None:
+    def record_wait(
+        self, lifetime: ids.Lifetime, value: str, now_s: float
+    ) -> None:
         """Record the Retry-After of a server that turned a request away.
 
         A number of seconds counts, with or without a fraction; dates, negative
@@ -85,7 +84,7 @@
             )
         self._notice(lifetime).wait_until_s = until_s
 
-    def _notice(self, lifetime: Lifetime) -> Notice:
+    def _notice(self, lifetime: ids.Lifetime) -> Notice:
         notice = self.by_lifetime.setdefault(lifetime, Notice())
         self.by_lifetime.move_to_end(lifetime)
         while len(self.by_lifetime) > MAX_SERVERS:
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -46,7 +46,7 @@
     assert set(fleet_state.backends) == {"b-1", "b-2"}
     newer = announcement(backend="b-3", born_ms=2000, address="10.0.0.2:80")
     assert fleet_state.announce(newer, 3.0)
-    assert fleet_state.superseded == {"b-1"}
+    assert fleet_state.superseded == {("b-1", 1000)}
     fleet_state.forget("b-3", 4.0)
     assert fleet_state.announce(
         announcement(backend="b-4", address="10.0.0.2:80"), 5.0
--- a/tests/direct/test_groups.py
+++ b/tests/direct/test_groups.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from flamingocleat import ids
 from flamingocleat.version import adoption
 from flamingocleat.version import groups
 from flamingocleat.version import orders
@@ -218,7 +219,9 @@
     for _ in range(120):
         simulation.tick()
         # Gateways use the former leader's list and reach the head.
-        simulation.manager.adoption.heads[head.group[0]] = head.backend
+        simulation.manager.adoption.heads[head.group[0]] = ids.Lifetime(
+            head.backend, head.born_ms
+        )
         simulation.manager.evidence_of(head.backend).served_s = simulation.now_s
     head.stalled_s = None
     assert simulation.violations == []
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -43,6 +43,7 @@
         self.number = number
         self.born_ms = 1
         self.backend = f"vm-{number}"
+        self.address = f"{self.backend}:80"
         self.domain = domain
         self.alive = True
         self.staged: tuple[str, ...] = ()
@@ -161,7 +162,7 @@
                 born_ms=vm.born_ms,
                 sequence=vm.sequence,
                 service="llm",
-                address=f"{vm.backend}:80",
+                address=vm.address,
                 data_centre="a",
                 state=(
                     fleet_module.BackendState.DRAINING
