Read a VM's state before the first order to join in a leader's term

The first that the leader had heard of the head was a late announcement of before it joined.

Cause: the first announcement was taken for the newest. Sequence numbers order announcements only, and a leader that remembers nothing has none to compare. Ruled out: a longer wait (delays have no bound); the evidence of others alone (it does not cover members, nor a model without traffic); formations in the log (they do not say whether an order was carried out).

Change: before its first join to a VM the leader reads the VM's state, which must match its newest announcement, and binds the join to the VM's count of accepted orders. A head that announced itself before it opened counts as open until it is confirmed. Members of groups that a former leader formed are read ahead, so that repairs after a change of leader wait for nothing.

--- a/src/flamingocleat/connection/platform.py
+++ b/src/flamingocleat/connection/platform.py
@@ -83,3 +83,8 @@
 
     async def order(self, order: orders.Order) -> OrderOutcome:
         """Send an order to a backend server."""
+
+    async def read_state(
+        self, backend: ids.BackendId, address: str
+    ) -> fleet.VmState | None:
+        """Ask a backend server for its state; return None without an answer."""
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -31,6 +31,7 @@
 from flamingocleat.process import timer as timer_module
 from flamingocleat.process import voters as voters_module
 from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import confirmations
 from flamingocleat.version import declared
 from flamingocleat.version import demand as demand_module
 from flamingocleat.version import fleet as fleet_module
@@ -123,6 +124,13 @@
     service_survey.VmUse.LOST,
 )
 
+_EFFECTS = {
+    platform_module.OrderOutcome.BEGUN: confirmations.Effect.BEGUN,
+    platform_module.OrderOutcome.DONE: confirmations.Effect.HOLDS,
+    platform_module.OrderOutcome.UNFIT: confirmations.Effect.REFUSED,
+    platform_module.OrderOutcome.UNKNOWN: confirmations.Effect.UNKNOWN,
+}
+
 Orders = list[tuple[groups_module.GroupManager, orders_module.Order]]
 """Orders, each with the manager of the groups that issued it."""
 
@@ -398,6 +406,7 @@
         now_s = time.monotonic()
         for manager in self.managers.values():
             manager.adopt(now_s)
+        self._read_states(now_s)
         self._update_served_backends()
         return []
 
@@ -413,10 +422,28 @@
         for manager in self.managers.values():
             manager.in_flight = in_flight
             orders += [(manager, order) for order in manager.step(now_s)]
+        self._read_states(now_s)
         self._update_served_backends()
         _REVIEW_SECONDS.observe(time.monotonic() - now_s)
         return orders
 
+    def _read_states(self, now_s: float) -> None:
+        """Read the states of VMs whose announcements may be outdated."""
+        for manager in self.managers.values():
+            for backend in manager.begin_reads(now_s):
+                self._start(self._read_state(manager, backend.announcement))
+
+    async def _read_state(
+        self,
+        manager: groups_module.GroupManager,
+        announcement: fleet_module.Announcement,
+    ) -> None:
+        state = await self.platform.read_state(
+            announcement.backend, announcement.address
+        )
+        manager.end_read(announcement.lifetime, state)
+        self.review_due.set()
+
     async def _send_orders(self, orders: Orders) -> None:
         """Send orders, after confirming that this voter still leads."""
         if not orders:
@@ -437,6 +464,7 @@
         self, manager: groups_module.GroupManager, order: orders_module.Order
     ) -> None:
         sent_s = time.monotonic()
+        ordered = self.fleet.backends.get(order.backend)
         outcome = await self.platform.order(order)
         _ORDERS.labels(op=order.op.value, outcome=outcome.value).inc()
         logs.info(
@@ -450,8 +478,13 @@
             outcome=outcome.value,
             after_ms=round((time.monotonic() - sent_s) * 1000),
         )
+        now_s = time.monotonic()
         if outcome is platform_module.OrderOutcome.FENCED:
-            manager.on_order_refused(order, time.monotonic())
+            manager.on_order_refused(order, now_s)
+        elif ordered is not None:
+            manager.on_order_answered(
+                order, ordered.announcement.lifetime, _EFFECTS[outcome], now_s
+            )
         backend = self.fleet.backends.get(order.backend)
         if (
             outcome is platform_module.OrderOutcome.UNKNOWN
--- a/src/flamingocleat/version/adoption.py
+++ b/src/flamingocleat/version/adoption.py
@@ -38,6 +38,11 @@
 MembersByRank = dict[int, fleet_module.Backend]
 """Members of a group that have announced themselves, by rank."""
 
+UNOPENED_STATES = (
+    fleet_module.GroupState.JOINING,
+    fleet_module.GroupState.READY,
+)
+"""States in which a head may open its group later."""
 _PHASE_BY_HEAD_STATE = {
     fleet_module.GroupState.READY: group_module.Phase.OPENING,
     fleet_module.GroupState.OPEN: group_module.Phase.OPEN,
@@ -140,6 +145,22 @@
         )
         return found
 
+    def claimed_heads(
+        self, backends: collections.abc.Iterable[fleet_module.Backend]
+    ) -> dict[ids.Lifetime, ids.Epoch]:
+        """Return heads by the evidence of others, with their latest epochs.
+
+        Gateways name the head of a group, and its other members its epoch.
+        """
+        claimed: dict[ids.Lifetime, ids.Epoch] = {}
+        for backend in backends:
+            report = backend.announcement.group
+            if report is None or report.name not in self.heads:
+                continue
+            head = self.heads[report.name]
+            claimed[head] = max(report.epoch, claimed.get(head, report.epoch))
+        return claimed
+
     def is_orphaned(self, reported: ReportedGroup, now_s: float) -> bool:
         """Return whether a group has been without its head for too long."""
         if reported.name in self.ended_s or self.is_from_this_term(
@@ -157,23 +178,30 @@
         engine: catalog_module.Engine,
         now_s: float,
     ) -> group_module.Group | None:
-        """Return a closing group for members whose head is not announced.
+        """Return a closing group for members whose head is not heard of.
 
-        The head may still be open, so its members are not free yet.
+        The head may still be open, so its members are not free yet. One that
+        has announced itself before it opened the group is not heard of either.
         """
         model = reported.model(engine)
         if model is None:
             return None
-        head = self.heads.get(reported.name, UNKNOWN_LIFETIME)
+        announced = reported.members_by_rank.get(0)
+        head = (
+            announced.announcement.lifetime
+            if announced
+            else self.heads.get(reported.name, UNKNOWN_LIFETIME)
+        )
         found = group_module.Group(
             name=reported.name,
             epoch=reported.epoch,
             model=model.name,
             members=(head.backend, *reported.members(model)[1:]),
-            head_address="",
+            head_address=announced.announcement.address if announced else "",
             phase=group_module.Phase.CLOSING,
             since_s=now_s,
             lifetimes={head.backend: head, **reported.lifetimes()},
+            is_head_heard=announced is not None,
             reason="the head has not announced itself",
         )
         logs.info(
--- a/src/flamingocleat/version/fleet.py
+++ b/src/flamingocleat/version/fleet.py
@@ -72,6 +72,18 @@
         return ids.Lifetime(self.backend, self.born_ms)
 
 
+class VmState(msgspec.Struct, frozen=True, kw_only=True):
+    """State that a VM tells when it is asked."""
+
+    born_ms: int = 0
+    """Start of its lifetime as Unix time; 0 if it does not say."""
+    group: GroupReport | None = None
+    orders: int = 0
+    """Number of orders that it has accepted in this lifetime."""
+    is_told: bool = True
+    """False if the VM answers as itself, but does not tell its state."""
+
+
 class Withdrawal(msgspec.Struct, frozen=True):
     """A backend server drains or has left.
 
--- a/src/flamingocleat/version/group.py
+++ b/src/flamingocleat/version/group.py
@@ -53,6 +53,9 @@
         default_factory=dict
     )
     """Lifetimes of the members that are known; a later one is no member."""
+    is_head_heard: bool = True
+    """Whether the head has announced itself in this group. Its announcements
+    without the group are then later ones."""
     finish_work: bool = False
     reason: str = ""
     """Why the group is being closed."""
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -16,6 +16,7 @@
 from flamingocleat.process import logs
 from flamingocleat.version import adoption as adoption_module
 from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import confirmations as confirmations_module
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import formation
 from flamingocleat.version import group as group_module
@@ -92,6 +93,9 @@
         self.engine: catalog_module.Engine | None = None
         self.groups: dict[str, Group] = {}
         self.adoption = adoption_module.Adoption(term)
+        self.confirmations = confirmations_module.Confirmations(
+            self.adoption.is_from_this_term
+        )
         self.evidence: dict[ids.Lifetime, group_module.Evidence] = {}
         self.sent_s: dict[Order, float] = {}
         self.load_planner = weights.LoadPlanner()
@@ -212,6 +216,30 @@
         self._forget_stale(now_s)
         return orders
 
+    def on_order_answered(
+        self,
+        order: Order,
+        lifetime: ids.Lifetime,
+        effect: confirmations_module.Effect,
+        now_s: float,
+    ) -> None:
+        """Follow what an order did.
+
+        Args:
+            order: The order.
+            lifetime: Lifetime that it was meant for.
+            effect: What it did, as far as the VM said.
+            now_s: Current time.
+        """
+        is_join = order.op is orders_module.Op.JOIN
+        self.confirmations.count_order(order, lifetime, effect)
+        if effect is confirmations_module.Effect.UNKNOWN and not is_join:
+            self.confirmations.invalidate(lifetime, now_s)
+        is_refused = effect is confirmations_module.Effect.REFUSED
+        if is_refused and order.expected_orders is not None:
+            self.confirmations.invalidate(lifetime, now_s)
+            self.on_order_refused(order, now_s)
+
     def on_order_refused(self, order: Order, now_s: float) -> None:
         """Abort a formation because a member refused to join."""
         group = self.groups.get(order.group)
@@ -220,10 +248,11 @@
             self._remove_group(group, f"{order.backend} refused to join", now_s)
 
     def _throttle(self, order: Order, now_s: float) -> list[Order]:
-        sent_s = self.sent_s.get(order)
+        key = msgspec.structs.replace(order, expected_orders=None)
+        sent_s = self.sent_s.get(key)
         if sent_s is not None and now_s - sent_s < RESEND_S:
             return []
-        self.sent_s[order] = now_s
+        self.sent_s[key] = now_s
         return [order]
 
     # Groups of an earlier leader.
@@ -234,6 +263,7 @@
             return
         found: dict[tuple[str, ids.Epoch], adoption_module.MembersByRank] = {}
         for backend in self.fleet.of_service(self.service):
+            self.confirmations.observe(backend.announcement)
             report = backend.announcement.group
             if report is not None:
                 key = (report.name, report.epoch)
@@ -255,8 +285,11 @@
         self, reported: adoption_module.ReportedGroup, now_s: float
     ) -> Group | None:
         assert self.engine is not None
-        if 0 in reported.members_by_rank:
-            return self.adoption.take_over(reported, self.engine, now_s)
+        head_backend = reported.members_by_rank.get(0)
+        if head_backend is not None:
+            adopted = self.adoption.take_over(reported, self.engine, now_s)
+            if adopted is not None or not self._may_have_opened(head_backend):
+                return adopted
         if not self.adoption.is_orphaned(reported, now_s):
             return None
         head = self.adoption.heads.get(
@@ -266,6 +299,39 @@
             return None
         return self.adoption.close_orphans(reported, self.engine, now_s)
 
+    def _may_have_opened(self, head: fleet_module.Backend) -> bool:
+        """Return whether a head may have opened its group since it announced.
+
+        If the head can be reached, it is read before this matters.
+        """
+        report = head.announcement.group
+        return (
+            report is not None
+            and report.state in adoption_module.UNOPENED_STATES
+            and not report.name.endswith(adoption_module.SPARE_SUFFIX)
+            and not self.confirmations.is_confirmed(head.announcement)
+        )
+
+    # States of VMs.
+
+    def begin_reads(self, now_s: float) -> list[fleet_module.Backend]:
+        """Return the VMs whose states should be read now.
+
+        Each read ends with a call of `end_read`.
+        """
+        if self.engine is None:
+            return []
+        unread = self.survey(now_s).unread
+        return self.confirmations.begin_reads(unread, now_s)
+
+    def end_read(
+        self, lifetime: ids.Lifetime, state: fleet_module.VmState | None
+    ) -> None:
+        """Record the state that a VM told, or None if it did not answer."""
+        known = self.fleet.backends.get(lifetime.backend)
+        newest = known.announcement if known else None
+        self.confirmations.end_read(lifetime, newest, state)
+
     # Phase handlers.
 
     def _step_warming(self, group: Group, now_s: float) -> list[Order]:
@@ -346,6 +412,8 @@
 
     def _step_closing(self, group: Group, now_s: float) -> list[Order]:
         head = self.fleet.backends.get(group.head)
+        if self._reported_state(group.head, group) is not None:
+            group.is_head_heard = True
         self._track_absent_members(group, now_s)
         if self._has_ended(group, head, now_s):
             self._remove_group(group, group.reason, now_s)
@@ -428,12 +496,8 @@
     ) -> bool:
         """Return whether the head has stopped serving the group for good."""
         evidence = self.evidence_of(group.head)
-        if head is not None:
-            report = head.announcement.group
-            if report is None or report.epoch != group.epoch:
-                return True
-            if report.state is fleet_module.GroupState.BROKEN:
-                return True
+        if head is not None and self._has_left(head, group):
+            return True
         if self._has_lifetime_ended(group, group.head):
             return True
         if group.member_left_s is not None:
@@ -447,6 +511,22 @@
         )
         return now_s - last_s > self.settings.stall_s + UNREACHABLE_MARGIN_S
 
+    def _has_left(self, head: fleet_module.Backend, group: Group) -> bool:
+        """Return whether a head says that it no longer serves a group.
+
+        A head without a group, or in an earlier one, may have said so before it
+        joined.
+        """
+        report = head.announcement.group
+        if report is None or report.epoch < group.epoch:
+            return group.is_head_heard or self.confirmations.is_confirmed(
+                head.announcement
+            )
+        return (
+            report.epoch > group.epoch
+            or report.state is fleet_module.GroupState.BROKEN
+        )
+
     def _has_lifetime_ended(self, group: Group, member: ids.BackendId) -> bool:
         """Return whether the lifetime that was a group's member has ended."""
         lifetime = group.lifetimes.get(member)
@@ -530,6 +610,7 @@
             self.groups.values(),
             lambda backend: self._is_usable(backend, now_s),
             self.adoption,
+            self.confirmations,
             self.capacity,
             self.in_flight,
         )
@@ -826,14 +907,18 @@
     # Helpers.
 
     def _join(self, group: Group, member: ids.BackendId) -> Order:
+        announcement = self.fleet.backends[member].announcement
         return Order(
             op=orders_module.Op.JOIN,
             backend=member,
-            address=self.fleet.backends[member].announcement.address,
+            address=announcement.address,
             model=group.model,
             group=group.name,
             epoch=group.epoch,
             members=group.members,
+            expected_orders=self.confirmations.expected_orders(
+                announcement.lifetime
+            ),
         )
 
     def _leave(self, group: Group, backend: fleet_module.Backend) -> Order:
@@ -891,6 +976,9 @@
             if lifetime.backend in known and not self.fleet.has_ended(lifetime)
         }
         self.load_planner.trim(known)
+        self.confirmations.trim(
+            {b.announcement.lifetime for b in self.fleet.backends.values()}
+        )
 
 
 _STEPS: dict[
--- a/src/flamingocleat/version/orders.py
+++ b/src/flamingocleat/version/orders.py
@@ -30,3 +30,6 @@
     """All members of the group; the first is its head."""
     finish_work: bool = False
     """For a close: finish the requests in flight first."""
+    expected_orders: int | None = None
+    """For a join: the VM refuses if it has accepted another number of orders in
+    its lifetime; None if any number will do."""
--- a/src/flamingocleat/version/service_survey.py
+++ b/src/flamingocleat/version/service_survey.py
@@ -11,6 +11,7 @@
 from flamingocleat import ids
 from flamingocleat.version import adoption as adoption_module
 from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import confirmations as confirmations_module
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import formation
 from flamingocleat.version import group as group_module
@@ -26,7 +27,8 @@
     EMPTY = "empty"
     """In no group, and without weights until a load completes."""
     BOUND = "bound"
-    """Not free yet, because the head of its former group may still serve."""
+    """Not free yet, because the head of its former group may still serve, or
+    because its state is not confirmed."""
     LOST = "lost"
     """Silent, unreachable or leaving."""
 
@@ -41,6 +43,7 @@
         groups: collections.abc.Collection[group_module.Group],
         usable: collections.abc.Callable[[fleet_module.Backend], bool],
         adoption: adoption_module.Adoption,
+        confirmations: confirmations_module.Confirmations,
         capacity: collections.abc.Callable[[group_module.Group], int],
         in_flight: collections.abc.Mapping[ids.BackendId, int],
     ) -> None:
@@ -67,11 +70,34 @@
             self.capacity[group.model] += capacity(group)
             self.in_flight[group.model] += in_flight.get(group.head, 0)
         taken = {member for group in groups for member in group.members}
-        heads = _head_states(backends)
         ungrouped = [
             e for e in self.usable if e.announcement.backend not in taken
         ]
-        free = [e for e in ungrouped if not _is_bound(e, heads, adoption)]
+        announced = _head_states(backends)
+        unbound = [
+            e for e in ungrouped if not _is_bound(e, announced, adoption)
+        ]
+        self.unconfirmed = [
+            e for e in unbound if not confirmations.is_confirmed(e.announcement)
+        ]
+        """VMs that are idle by announcements that may be outdated."""
+        self.unread = self.unconfirmed + [
+            each
+            for each in self.usable
+            if each.announcement.backend in taken
+            and not confirmations.is_confirmed(each.announcement)
+        ]
+        """VMs whose states should be read, the most urgent first. Members of
+        groups that an earlier leader formed are idle later."""
+        certain = _head_states(backends, confirmations)
+        claimed = adoption.claimed_heads(backends)
+        free = [
+            each
+            for each in unbound
+            if confirmations.is_confirmed(each.announcement)
+            and not _is_bound(each, certain, adoption)
+            and not _is_claimed(each, claimed, confirmations)
+        ]
         self.idle = formation.IdleVms(engine.models, free)
         self.total = len(backends)
         self.ungrouped = len(ungrouped)
@@ -125,16 +151,45 @@
 
 def _head_states(
     backends: collections.abc.Iterable[fleet_module.Backend],
+    confirmations: confirmations_module.Confirmations | None = None,
 ) -> dict[ids.Epoch, list[fleet_module.GroupState]]:
-    """Return the group states that heads report, by the group's epoch."""
+    """Return the group states that heads report, by the group's epoch.
+
+    If `confirmations` are given, a head counts as open if it may have opened
+    its group since its announcement.
+    """
     found: dict[ids.Epoch, list[fleet_module.GroupState]] = {}
     for backend in backends:
         report = backend.announcement.group
-        if report is not None and report.rank == 0:
-            found.setdefault(report.epoch, []).append(report.state)
+        if report is None or report.rank:
+            continue
+        state = report.state
+        if (
+            confirmations is not None
+            and state in adoption_module.UNOPENED_STATES
+            and not confirmations.is_confirmed(backend.announcement)
+        ):
+            state = fleet_module.GroupState.OPEN
+        found.setdefault(report.epoch, []).append(state)
     return found
 
 
+def _is_claimed(
+    backend: fleet_module.Backend,
+    claimed: collections.abc.Mapping[ids.Lifetime, ids.Epoch],
+    confirmations: confirmations_module.Confirmations,
+) -> bool:
+    """Return whether others name a VM as the head of a later group.
+
+    Its own state, if it tells that, is better evidence.
+    """
+    announcement = backend.announcement
+    if announcement.lifetime not in confirmations.untold:
+        return False
+    own = announcement.group.epoch if announcement.group else -1
+    return claimed.get(announcement.lifetime, -1) > own
+
+
 def _is_bound(
     backend: fleet_module.Backend,
     heads: collections.abc.Mapping[ids.Epoch, list[fleet_module.GroupState]],
--- a/tests/direct/coordinators.py
+++ b/tests/direct/coordinators.py
@@ -48,6 +48,9 @@
     def encode_announced(self, http_address):
         return b""
 
+    async def read_state(self, backend, address):
+        return None
+
 
 class Cluster:
     """Coordinators on loopback, each at its own address."""
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -2,8 +2,10 @@
 
 import random
 
+from flamingocleat import ids
 from flamingocleat.process import coordinator
 from flamingocleat.version import catalog
+from flamingocleat.version import confirmations
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups
@@ -32,6 +34,9 @@
 ANNOUNCE_INTERVAL_S = 1.2
 SETTLE_S = ANNOUNCE_INTERVAL_S * coordinator.SETTLE_INTERVALS
 STALL_S = 4.0
+MAX_LATE_S = 6.0
+STATE_LAG_TICKS = 3
+"""Ticks by which the state that a VM tells may be old."""
 STATE = fleet_module.GroupState
 SETTINGS = groups.GroupManagerSettings(STALL_S, 1)
 
@@ -60,6 +65,20 @@
         self.stalled_s: float | None = None
         self.highest_epoch = 0
         self.opens_s: float | None = None
+        self.orders = 0
+        """Number of orders that it has accepted."""
+        self.history: list[fleet_module.VmState] = []
+        """Its states of the last ticks; it tells the oldest of them."""
+
+    @property
+    def lifetime(self) -> ids.Lifetime:
+        return ids.Lifetime(self.backend, self.born_ms)
+
+    def report(self) -> fleet_module.GroupReport | None:
+        """Return what it reports of its group."""
+        if self.group is None:
+            return None
+        return fleet_module.GroupReport(*self.group, self.state)
 
     def serves_no_group(self) -> bool:
         """Return whether it is in no group of several VMs."""
@@ -88,6 +107,15 @@
         self.orders: list[orders.Order] = []
         self.delayed_orders: list[tuple[float, orders.Order]] = []
         self.delayed_fraction = 0.0
+        self.late_fraction = 0.0
+        """Fraction of the announcements that arrive late and out of order."""
+        self.late_vms: set[str] = set()
+        """VMs all of whose announcements are late."""
+        self.late_announcements: list[
+            tuple[float, fleet_module.Announcement]
+        ] = []
+        self.tells_state = True
+        """Whether VMs tell their state when they are asked."""
         self.muted_vm = ""
         """A VM whose announcements do not reach the coordinator."""
         self.unreachable: set[str] = set()
@@ -131,6 +159,7 @@
                 and announce_tick % round(ANNOUNCE_INTERVAL_S / TICK_S) == 0
             ):
                 self.announce(vm)
+        self._deliver_late_announcements()
         due = [o for at_s, o in self.delayed_orders if at_s <= self.now_s]
         self.delayed_orders = [
             d for d in self.delayed_orders if d[0] > self.now_s
@@ -141,6 +170,7 @@
         self._check_serving()
         if self.now_s < self.settled_s:
             self.manager.adopt(self.now_s)
+            self._tell_states()
             return
         for order in self.manager.step(self.now_s):
             self.orders.append(order)
@@ -148,47 +178,95 @@
             if self.random.random() < self.delayed_fraction:
                 arrival_s = self.now_s + self.random.uniform(2, 12)
             self.delayed_orders.append((arrival_s, order))
+        self._tell_states()
+
+    def _tell_states(self) -> None:
+        """Let the VMs that the manager reads tell their state."""
+        for vm in self.vms.values():
+            state = fleet_module.VmState(
+                born_ms=vm.born_ms, group=vm.report(), orders=vm.orders
+            )
+            vm.history = [*vm.history, state][-STATE_LAG_TICKS:]
+        for backend in self.manager.begin_reads(self.now_s):
+            lifetime = backend.announcement.lifetime
+            vm = self.vms.get(lifetime.backend)
+            if not vm or not vm.alive or vm.backend in self.unreachable:
+                state = None
+            elif self.tells_state:
+                state = vm.history[0]
+            else:
+                state = fleet_module.VmState(is_told=False)
+            self.manager.end_read(lifetime, state)
 
     def announce(self, vm: Vm) -> None:
         if vm.backend == self.muted_vm or vm.backend in self.unreachable:
             return
+        announcement = self.announcement(vm)
+        is_late = (
+            vm.backend in self.late_vms
+            or self.random.random() < self.late_fraction
+        )
+        if is_late:
+            arrival_s = self.now_s + self.random.uniform(0.5, MAX_LATE_S)
+            self.late_announcements.append((arrival_s, announcement))
+        else:
+            self.fleet.announce(announcement, self.now_s)
+
+    def _deliver_late_announcements(self) -> None:
+        due = [a for a in self.late_announcements if a[0] <= self.now_s]
+        self.late_announcements = [
+            a for a in self.late_announcements if a[0] > self.now_s
+        ]
+        for _, announcement in due:
+            self.fleet.announce(announcement, self.now_s)
+
+    def announcement(self, vm: Vm) -> fleet_module.Announcement:
+        """Return the next announcement of a VM."""
         vm.sequence += 1
-        report = None
-        if vm.group is not None:
-            report = fleet_module.GroupReport(*vm.group, vm.state)
-        self.fleet.announce(
-            fleet_module.Announcement(
-                backend=vm.backend,
-                born_ms=vm.born_ms,
-                sequence=vm.sequence,
-                service="llm",
-                address=vm.address,
-                data_centre="a",
-                state=(
-                    fleet_module.BackendState.DRAINING
-                    if vm.draining
-                    else fleet_module.BackendState.READY
-                ),
-                slots=24,
-                domain=vm.domain,
-                staged=vm.staged,
-                model=vm.model if vm.has_joined() else "",
-                group=report,
+        return fleet_module.Announcement(
+            backend=vm.backend,
+            born_ms=vm.born_ms,
+            sequence=vm.sequence,
+            service="llm",
+            address=vm.address,
+            data_centre="a",
+            state=(
+                fleet_module.BackendState.DRAINING
+                if vm.draining
+                else fleet_module.BackendState.READY
             ),
-            self.now_s,
+            slots=24,
+            domain=vm.domain,
+            staged=vm.staged,
+            model=vm.model if vm.has_joined() else "",
+            group=vm.report(),
         )
 
     def apply_order(self, order: orders.Order) -> None:
+        """Carry out an order and tell the manager its outcome."""
         vm = self.vms[order.backend]
         if not vm.alive or vm.backend in self.unreachable:
             return
+        before = vm.orders
+        effect = confirmations.Effect.REFUSED
+        if order.expected_orders in (None, before):
+            self.carry_out(vm, order)
+            effect = confirmations.Effect.HOLDS
+            if vm.orders > before and order.op is not orders.Op.LEAVE:
+                effect = confirmations.Effect.BEGUN
+        self.manager.on_order_answered(order, vm.lifetime, effect, self.now_s)
+
+    def carry_out(self, vm: Vm, order: orders.Order) -> None:
+        """Carry out an order."""
         if order.op is orders.Op.STAGE:
+            vm.orders += 1
             self.load_starts_s.append(self.now_s)
             vm.pending_load = (self.now_s + 2.0, order.model)
         elif order.op is orders.Op.JOIN:
             if self.now_s >= self.joins_lost_until_s:
                 self._join(vm, order)
         elif vm.group is not None and vm.group[1] == order.epoch:
+            vm.orders += 1
             if order.op is orders.Op.OPEN and vm.state is STATE.READY:
                 vm.opens_s = self.now_s + ENGINE.form_s
             elif order.op is orders.Op.LEAVE:
@@ -221,6 +299,7 @@
             self.violations.append(
                 f"{self.now_s:.1f}: {vm.backend} left open {vm.last_group}"
             )
+        vm.orders += 1
         vm.highest_epoch = order.epoch
         vm.opens_s = vm.stalled_s = None
         has_model_in_engine = order.model == vm.model
@@ -242,12 +321,17 @@
         closed group; such a group gets no requests and is not checked.
         """
         for group in self.manager.serving():
-            # Use the list that the head received: a new leader may not have
-            # announcements of all members yet.
-            for member in self.vms[group.head].members:
-                if (member, group.name) not in self.ready_members:
+            # Use the group and the list that the head has: a new leader may
+            # not have announcements of all members yet, and late ones may name
+            # a group that the head has left.
+            head = self.vms[group.head]
+            if head.group is None or head.state is not STATE.OPEN:
+                continue
+            name = head.group[0]
+            for member in head.members:
+                if (member, name) not in self.ready_members:
                     self.violations.append(
-                        f"{self.now_s:.1f}: {group.name} serves although "
+                        f"{self.now_s:.1f}: {name} serves although "
                         f"{member} was never ready"
                     )
 
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -115,6 +115,8 @@
         self.name = f"{self.service}-{self.address}-{self.incarnation_count}"
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
+        self.orders = 0
+        """Number of orders that it has begun."""
         self.is_alive = False
         self.last_model = ""
         self.group = ""
@@ -179,12 +181,7 @@
             "models": [{"name": self.last_model}] if self.group else [],
         }
         if self.group:
-            body["group"] = {
-                "name": self.group,
-                "epoch": self.epoch,
-                "rank": self.rank,
-                "state": self.state,
-            }
+            body["group"] = self._group_report()
         return body
 
     async def _announce_periodically(self) -> None:
@@ -237,13 +234,38 @@
             status = self._apply_order(json.loads(exchange.body))
             await exchange.respond(status, [], b"")
             self.spawn(self.announce())
+        elif exchange.target == b"/api/report":
+            await exchange.respond(200, [], json.dumps(self._report()).encode())
         elif self.service == "llm":
             await self._stream(exchange)
         else:
             await self._run_once(exchange)
 
+    def _report(self) -> dict:
+        """Return its state in the platform's format."""
+        report = {"born": self.born_ms, "sequence": self.orders}
+        if self.group:
+            report["group"] = self._group_report()
+        return report
+
+    def _group_report(self) -> dict:
+        return {
+            "name": self.group,
+            "epoch": self.epoch,
+            "rank": self.rank,
+            "state": self.state,
+        }
+
     def _apply_order(self, order: dict) -> int:
         op = order["op"]
+        if order.get("precondition", self.orders) != self.orders:
+            return 409
+        had_group = bool(self.group)
+        status = self._begin_order(op, order)
+        self.orders += status == 202 or (had_group and not self.group)
+        return status
+
+    def _begin_order(self, op: str, order: dict) -> int:
         if op == "stage":
             self.spawn(self._load(order["model"]))
             return 202
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import msgspec
 import pytest
 from adapter import wire
 
@@ -276,3 +277,76 @@
         "model": "large",
         "members": ["i-1", "i-2"],
     }
+
+
+def test_order_to_join_is_bound_to_the_count_of_orders():
+    """Guards against a join that a VM takes after another leader's order."""
+    order = orders.Order(
+        op=orders.Op.JOIN,
+        backend="i-1",
+        address="10.0.0.1:80",
+        members=("i-1",),
+        expected_orders=0,
+    )
+    encode = wire._ORDER_ENCODERS[orders.Op.JOIN]
+    assert encode(order)["precondition"] == 0
+    unbound = msgspec.structs.replace(order, expected_orders=None)
+    assert "precondition" not in encode(unbound)
+
+
+OPEN_HEAD = {"name": "g7", "epoch": 12, "rank": 0, "state": "open"}
+STATES = {
+    "in a group": (
+        "200 OK",
+        {"born": 5, "sequence": 3, "group": OPEN_HEAD, "busy": False},
+        fleet.VmState(
+            born_ms=5,
+            orders=3,
+            group=fleet.GroupReport("g7", 12, 0, fleet.GroupState.OPEN),
+        ),
+    ),
+    "in none": ("200 OK", {"sequence": 0}, fleet.VmState()),
+    "null": ("200 OK", {"group": None}, fleet.VmState()),
+    "unknown state": (
+        "200 OK",
+        {"group": {**OPEN_HEAD, "state": "resting"}},
+        None,
+    ),
+    "no object": ("200 OK", [], None),
+    "another server": ("421 No\r\nX-Instance-Id: i-2", {}, None),
+    "perhaps another": ("421 No", {}, None),
+    "not told": (
+        "404 No\r\nX-Instance-Id: i-1",
+        {},
+        fleet.VmState(is_told=False),
+    ),
+    "no answer": (None, {}, None),
+}
+
+
+@pytest.mark.parametrize("name", STATES)
+def test_state_is_translated(name):
+    """Guards against a VM that counts as idle by a misread state."""
+    status, document, expected = STATES[name]
+    heads = []
+
+    async def serve(reader, writer):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        if status is not None:
+            body = json.dumps(document)
+            length = f"Content-Length: {len(body)}"
+            writer.write(
+                f"HTTP/1.1 {status}\r\n{length}\r\n\r\n{body}".encode()
+            )
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        found = await ADAPTER.read_state("i-1", f"127.0.0.1:{port}")
+        server.close()
+        return found
+
+    assert asyncio.run(run()) == expected
+    assert heads[0].startswith(b"GET /api/report ")
+    assert b"x-expect-instance: i-1" in heads[0].lower()
