--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -46,10 +46,12 @@
 MAX_APPLY_ENTRIES = 256
 """Entries applied in one batch before the event loop runs other tasks."""
 RETAINED_ENTRIES = 100
-"""Entries kept in memory although a snapshot covers them, so that a follower
-that is only slightly behind needs no snapshot."""
-MAX_LOG_BYTES = 8 * 1024 * 1024
-"""Total size of commands that triggers a snapshot whatever their number."""
+"""Bound on the entries kept in memory although a snapshot covers them, so that
+a follower that is only slightly behind needs no snapshot."""
+RETAINED_FRACTION = 1 / 3
+"""Bound on their size, as a fraction of the memory for log entries. The rest is
+for entries that no snapshot covers; their size triggers one, whatever their
+number."""
 
 
 class Role(enum.Enum):
@@ -654,7 +656,13 @@
                 last = max(last, work.batch[-1].index)
             self.durable_index = last
         if work.snapshot:
-            self.entries.compact(work.snapshot.index - RETAINED_ENTRIES)
+            self.entries.compact(
+                self.entries.retained_after(
+                    min(work.snapshot.index, self.entries.last_index),
+                    RETAINED_ENTRIES,
+                    round(self.settings.log_memory_bytes * RETAINED_FRACTION),
+                )
+            )
             if self.snapshot.index < work.snapshot.index:
                 self.snapshot = work.snapshot
         self._advance_commit_index()
@@ -738,7 +746,8 @@
         count = index - self.snapshot_index
         due = (
             count >= self.settings.snapshot_interval_entries
-            or self.bytes_since_snapshot >= MAX_LOG_BYTES
+            or self.bytes_since_snapshot
+            >= self.settings.log_memory_bytes * (1 - RETAINED_FRACTION)
         )
         # Storage keeps the entries after the snapshot only if it holds the
         # entry at the snapshot's index.
--- a/src/flamingocleat/process/control.py
+++ b/src/flamingocleat/process/control.py
@@ -383,13 +383,10 @@
             f"voter {value.voter!r} is missing",
             "add this voter's address",
         )
-    interval = value.snapshot_interval_entries
-    if interval is not None and interval < 1:
-        found.add(
-            ("snapshot_interval_entries",),
-            f"snapshot_interval_entries is {interval}",
-            "give at least 1",
-        )
+    for key in ("snapshot_interval_entries", "log_memory_bytes"):
+        number = getattr(value, key)
+        if number is not None and number < 1:
+            found.add((key,), f"{key} is {number}", "give at least 1")
     key_hash = value.bootstrap_key_sha256
     if key_hash and not re.fullmatch(r"[0-9a-f]{64}", key_hash):
         found.add(
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -71,6 +71,12 @@
 """Callers are not redirected to a leader that has been silent for longer."""
 MAX_DOCUMENT_BYTES = 16_777_216
 SNAPSHOT_ENTRIES = 200
+LOG_MEMORY_FRACTION = 1 / 24
+"""Part of a coordinator's memory that log entries may use. Without a load it
+uses a fifth, and several copies of the largest configuration must fit beside
+the log while that configuration is changed."""
+DEFAULT_MEMORY_MB = 288.0
+"""Memory that is assumed if the settings give none."""
 MAX_REDIRECT_WAIT_S = 0.5
 DRAIN_WAIT_S = 0.5
 """Time to answer pending requests after SIGTERM."""
@@ -171,6 +177,7 @@
                 data_folder=settings.data_folder,
                 voters={},
                 snapshot_interval_entries=SNAPSHOT_ENTRIES,
+                log_memory_bytes=log_memory_bytes(settings.memory_mb),
             ),
             self.storage,
             self.machine,
@@ -808,6 +815,11 @@
         )
 
 
+def log_memory_bytes(memory_mb: float) -> int:
+    """Return how many bytes of log entries fit into a process's memory."""
+    return round((memory_mb or DEFAULT_MEMORY_MB) * 1e6 * LOG_MEMORY_FRACTION)
+
+
 def _unix_ms() -> int:
     return int(time.time() * 1000)
 
--- a/src/flamingocleat/process/log_entries.py
+++ b/src/flamingocleat/process/log_entries.py
@@ -73,6 +73,25 @@
         self.base_index = index
         self.base_term = term
 
+    def retained_after(
+        self, index: int, max_entries: int, max_bytes: int
+    ) -> int:
+        """Return the index to compact to so that some entries are retained.
+
+        Args:
+            index: Entries up to this one may be removed.
+            max_entries: Bound on the number of these that are retained.
+            max_bytes: Bound on the size of their commands.
+        """
+        lowest = max(self.base_index, index - max_entries)
+        size = 0
+        while index > lowest:
+            size += len(self.get(index).command)
+            if size > max_bytes:
+                break
+            index -= 1
+        return index
+
     def first_index_of_term(self, index: int) -> int:
         """Return the first known index that has the same term as index."""
         term = self.term(index)
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -35,6 +35,9 @@
     Without the leader's address, a follower responds with status 503.
     """
     snapshot_interval_entries: int = 1000
+    log_memory_bytes: int = 12_582_912
+    """Bytes of log entries that are kept in memory, and on disk beside the
+    snapshot. A single larger entry is kept all the same."""
     bootstrap_key_sha256: str = ""
     """Hex SHA-256 of the operator key that may submit the first version."""
 
@@ -140,6 +143,8 @@
     """True only at the first start of the whole deployment."""
     seeds: tuple[str, ...]
     """gRPC addresses of the initial voters, or of some voters to contact."""
+    memory_mb: float = 0.0
+    """Memory that this process may use, in MB; 0 if it is not limited."""
     announce_interval_s: float = 1.2
     """Interval between announcements of a backend server."""
     stall_s: float = 4.0
--- a/tests/direct/coordinators.py
+++ b/tests/direct/coordinators.py
@@ -86,8 +86,10 @@
     async def stop(self, number: int) -> None:
         await self.running.pop(number).stop()
 
-    async def put(self, version: int) -> None:
-        await self._request("POST", DOCUMENT, str(version).encode())
+    async def put(self, version: int, padding: int = 0) -> None:
+        """Submit a version, in a document with this many bytes more."""
+        document = str(version).encode() + b" " * padding
+        await self._request("POST", DOCUMENT, document)
 
     async def get(self) -> int:
         return int(await self._request("GET", DOCUMENT, b""))
@@ -137,6 +139,15 @@
                         return data
                 await asyncio.sleep(0.1)
 
+    async def wait_for_version(self, version: int) -> None:
+        """Wait until all running voters have applied a version."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while any(
+                each.machine.version != version
+                for each in self.running.values()
+            ):
+                await asyncio.sleep(0.05)
+
     async def wait_for_voters(self, expected: set[int]) -> None:
         """Wait until exactly these are the voters, with no change under way."""
         expected_voters = {self.address(number) for number in expected}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -53,6 +53,7 @@
         ("voters", {"control-1": "x"}, "'x' is not an address"),
         ("operators_addresses", {"control-1": "x"}, "'x' is not an address"),
         ("snapshot_interval_entries", 0, "is 0"),
+        ("log_memory_bytes", 0, "is 0"),
         ("bootstrap_key_sha256", "12", "not a SHA-256 hash"),
     ],
 )
