Complete a voter's storage that a crash left without its voters

Three processes answered 503 for good.

Change: the mark holds the first voters, so that an unused storage is completed when it is opened, whatever the settings say by then. Also found by the test: what is read back at a start is synced before it is used, and the folder is unlocked if the first start fails.

--- a/src/flamingocleat/process/storage.py
+++ b/src/flamingocleat/process/storage.py
@@ -40,6 +40,8 @@
 
     format: str
     voter: ids.VoterId
+    first_voters: tuple[str, ...] = ()
+    """Addresses of all voters, if this one was created with its cluster."""
 
 
 class Vote(msgspec.Struct, frozen=True):
@@ -88,6 +90,7 @@
                 f"{identity.format!r}, expected {_FORMAT!r}"
             )
         self.voter = identity.voter
+        self.first_voters = identity.first_voters
         self.vote = self._read_record_file(_VOTE_FILE, Vote)
         self.snapshot = Snapshot()
         if (self.folder / _SNAPSHOT_FILE).exists():
@@ -98,14 +101,26 @@
         log_start = self._read_log()
         self.file = _open_log(self.folder)
         try:
+            os.fsync(self.file.fileno())
             self._finish_compaction(log_start)
         except BaseException:
             self.file.close()
             raise
 
     @classmethod
-    def create(cls, folder: str, voter: ids.VoterId) -> "Storage":
-        """Create and open a data folder; raise StorageError if not empty."""
+    def create(
+        cls,
+        folder: str,
+        voter: ids.VoterId,
+        first_voters: tuple[str, ...] = (),
+    ) -> "Storage":
+        """Create and open a data folder; raise StorageError if not empty.
+
+        Args:
+            folder: The folder.
+            voter: Id of the voter that owns it.
+            first_voters: Addresses of all voters, if their cluster is new.
+        """
         path = pathlib.Path(folder)
         path.mkdir(parents=True, exist_ok=True)
         if any(path.iterdir()):
@@ -119,7 +134,7 @@
         _replace_file(path, _VOTE_FILE, encode_record(_encoder.encode(Vote())))
         # Written last, so that open refuses a folder that a crash left
         # incomplete.
-        identity = Identity(_FORMAT, voter)
+        identity = Identity(_FORMAT, voter, first_voters)
         _replace_file(
             path, IDENTITY_FILE, encode_record(_encoder.encode(identity))
         )
@@ -136,14 +151,16 @@
             )
         lock = _lock_folder(path)
         try:
+            # A process that was killed may have left names and entries that
+            # are read here, but would not outlast a loss of power.
+            _fsync_folder(path)
             for leftover in path.glob(f"*{_TEMPORARY_SUFFIX}"):
                 leftover.unlink()
             return cls(folder, lock)
-        except OSError as error:
-            lock.close()
-            raise errors.StorageError(f"{folder}: {error}") from error
-        except errors.StorageError:
+        except BaseException as error:
             lock.close()
+            if isinstance(error, OSError):
+                raise errors.StorageError(f"{folder}: {error}") from error
             raise
 
     @property
@@ -161,6 +178,11 @@
         """Index of the last entry on disk, or of the snapshot."""
         return self.snapshot.index + len(self.entries)
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether the voter has neither voted nor stored anything."""
+        return not (self.voted_for or self.last_index)
+
     def save_vote(self, term: int, voted_for: ids.VoterId) -> None:
         """Replace the saved term and vote."""
         with self._guard_write():
--- a/src/flamingocleat/process/voters.py
+++ b/src/flamingocleat/process/voters.py
@@ -36,6 +36,8 @@
 REVIEW_INTERVAL_S = 0.5
 """Interval at which the leader checks its voters and others ask to join."""
 JOIN_TIMEOUT_S = 1.0
+FIRST_TERM = 1
+"""Term of the first snapshot; nobody votes in it."""
 
 
 def open_storage(
@@ -49,20 +51,37 @@
     """
     folder = pathlib.Path(settings.data_folder)
     folder.mkdir(parents=True, exist_ok=True)
+    is_initial = settings.bootstrap and settings.address in settings.seeds
+    seeds = settings.seeds if is_initial else ()
     if (folder / storage_module.IDENTITY_FILE).is_file():
-        return storage_module.Storage.open(settings.data_folder)
-    for leftover in folder.iterdir():
+        storage = storage_module.Storage.open(settings.data_folder)
+    else:
+        storage = _create_storage(settings, seeds)
+    # A crash may have come between the folder's creation and its snapshot, and
+    # the settings may no longer tell that the cluster was new. Earlier builds
+    # did not store the first voters.
+    first_voters = storage.first_voters or seeds
+    if first_voters and storage.is_unused and storage.term <= FIRST_TERM:
+        try:
+            _write_first_snapshot(storage, first_voters)
+        except BaseException:
+            storage.close()
+            raise
+    return storage
+
+
+def _create_storage(
+    settings: settings_module.CoordinatorSettings, seeds: tuple[str, ...]
+) -> storage_module.Storage:
+    for leftover in pathlib.Path(settings.data_folder).iterdir():
         # The identity file is written last; without it, nothing in this
         # folder was ever acknowledged.
         leftover.unlink()
-    is_initial = settings.bootstrap and settings.address in settings.seeds
-    name = settings.address if is_initial else secrets.token_hex(8)
+    name = settings.address if seeds else secrets.token_hex(8)
     storage = storage_module.Storage.create(
-        settings.data_folder, ids.VoterId(name)
+        settings.data_folder, ids.VoterId(name), seeds
     )
-    if is_initial:
-        _write_first_snapshot(storage, settings.seeds)
-    logs.info(_log, "storage_created", voter=storage.voter, first=is_initial)
+    logs.info(_log, "storage_created", voter=name, first=bool(seeds))
     return storage
 
 
@@ -75,8 +94,9 @@
     data = consensus_module.SnapshotData(
         membership_module.Membership(voters), machine.snapshot()
     )
-    storage.save_vote(1, ids.VoterId(""))
-    storage.save_snapshot(1, 1, msgspec.msgpack.encode(data))
+    storage.save_vote(FIRST_TERM, ids.VoterId(""))
+    storage.save_snapshot(1, FIRST_TERM, msgspec.msgpack.encode(data))
+    logs.info(_log, "first_snapshot_written", voter=storage.voter)
 
 
 class Voters:
--- a/tests/direct/test_voters.py
+++ b/tests/direct/test_voters.py
@@ -279,3 +279,25 @@
         assert await cluster.get() == sent
 
     coordinators.run_scenario(tmp_path, scenario)
+
+
+# No voter ever stood for election after all were killed in their first start.
+def test_cluster_serves_after_all_were_killed_as_they_were_created(
+    tmp_path, monkeypatch
+):
+    async def run():
+        cluster = coordinators.Cluster(tmp_path)
+        with monkeypatch.context() as patch:
+            patch.setattr(voters, "_write_first_snapshot", lambda *_: None)
+            for number in (1, 2, 3):
+                created = cluster.settings(number, bootstrap=True)
+                voters.open_storage(created).close()
+        for number in (1, 2, 3):
+            await cluster.start(number, bootstrap=False)
+        try:
+            await cluster.put(1)
+            assert await cluster.get() == 1
+        finally:
+            await cluster.close()
+
+    asyncio.run(run())
