Stop a gateway also at the moment at which a request times out

Callers saw: in a planned stop, the requests after the one that had just timed out kept their deadlines, and could be cut by the end of the process without an answer; the stop itself raised an error.

Cause: a timeout that has expired cannot be rescheduled, and its request is in flight until it has unwound.

Change: such a request is left to its own end. The new test failed before with RuntimeError and passes now.

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -298,7 +298,8 @@
         loop_offset_s = asyncio.get_running_loop().time() - time.monotonic()
         for call, timeout in self.in_flight.items():
             call.deadline_s = min(call.deadline_s, stop_at_s)
-            timeout.reschedule(call.deadline_s + loop_offset_s)
+            if not timeout.expired():
+                timeout.reschedule(call.deadline_s + loop_offset_s)
 
     async def _wait_for_catalog(self, exchange: http.Exchange) -> None:
         """Hold a request while the first configuration is about to arrive.
--- a/tests/direct/test_gateway_stop.py
+++ b/tests/direct/test_gateway_stop.py
@@ -139,3 +139,40 @@
         assert (await request).is_complete
 
     run_scenario(monkeypatch, scenario)
+
+
+class FakeCall:
+    """A call in flight, as far as a stop concerns it."""
+
+    def __init__(self) -> None:
+        self.deadline_s = float("inf")
+
+
+# A stop at the moment at which one request timed out raised an error, and the
+# other requests kept their deadlines.
+def test_stop_beside_a_request_that_times_out_reaches_the_others():
+    async def scenario(harness):
+        calls = FakeCall(), FakeCall()
+        unwinding = asyncio.Event()
+
+        async def time_out(call, timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                harness.forwarder.in_flight[call] = timeout
+                try:
+                    await asyncio.sleep(60)
+                finally:
+                    # The connection to its server is being closed.
+                    unwinding.set()
+                    await asyncio.sleep(0.2)
+
+        tasks = [
+            asyncio.create_task(time_out(call, timeout_s))
+            for call, timeout_s in zip(calls, (0.0, 60.0), strict=True)
+        ]
+        await unwinding.wait()
+        harness.forwarder.stop_by(time.monotonic() + 0.1)
+        async with asyncio.timeout(2):
+            ends = await asyncio.gather(*tasks, return_exceptions=True)
+        assert [type(end) for end in ends] == [TimeoutError, TimeoutError]
+
+    support.run_scenario(scenario)
