--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -57,8 +57,10 @@
         self.listener = listener
         """A socket that already listens for callers, or None."""
         self.read_settings = read_settings
-        self.settings = settings = read_settings()
         self.shutdown = shutdown_module.Shutdown()
+        # Before the settings are read, so that no later change is missed.
+        self.shutdown.install()
+        self.settings = settings = read_settings()
         self.timer = timer_module.Timer()
         self.candidates = candidates_module.Candidates()
         self.admission = admission.Admission(
@@ -93,7 +95,6 @@
 
     async def run(self) -> int:
         """Serve until shutdown is requested; return the exit status."""
-        self.shutdown.install()
         self.shutdown.install_reload(self.reload)
         await self.server.start(self.settings.listen, self.listener)
         if self.settings.health_listen != self.settings.listen:
--- a/src/flamingocleat/process/shutdown.py
+++ b/src/flamingocleat/process/shutdown.py
@@ -25,27 +25,38 @@
         self.idle.set()
         self.in_flight: set[str] = set()
         self.lock = threading.Lock()
+        self.reload: collections.abc.Callable[[], None] | None = None
+        self.is_reload_due = False
+        """Whether SIGHUP has come before there was anything to reload."""
 
     def install(self) -> None:
-        """Request a stop on SIGTERM and SIGINT."""
+        """Request a stop on SIGTERM and SIGINT, and outlast SIGHUP."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.request, number.name)
+        self.loop.add_signal_handler(signal.SIGHUP, self._handle_reload)
 
     def install_reload(
         self, reload: collections.abc.Callable[[], None]
     ) -> None:
-        """Call reload on SIGHUP; errors in it are logged."""
-
-        def handle() -> None:
-            try:
-                reload()
-            except Exception as error:
-                # The previous settings stay in force.
-                logs.error(_log, "reload_failed", reason=repr(error))
-            else:
-                logs.info(_log, "settings_reloaded")
-
-        self.loop.add_signal_handler(signal.SIGHUP, handle)
+        """Call reload on SIGHUP; errors in it are logged.
+
+        If SIGHUP has come since `install`, it is called now.
+        """
+        self.reload = reload
+        if self.is_reload_due:
+            self._handle_reload()
+
+    def _handle_reload(self) -> None:
+        if self.reload is None:
+            self.is_reload_due = True
+            return
+        try:
+            self.reload()
+        except Exception as error:
+            # The previous settings stay in force.
+            logs.error(_log, "reload_failed", reason=repr(error))
+        else:
+            logs.info(_log, "settings_reloaded")
 
     def request(self, reason: str) -> None:
         """Request the program to stop."""
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -1,11 +1,15 @@
 """Boot settings, and the folder named like a standard library module."""
 
+import contextlib
 import json
+import os
 import pathlib
 import platform
+import signal
 import socket
 import subprocess
 import sys
+import time
 
 import msgspec
 import pytest
@@ -143,3 +147,94 @@
         check=True,
     )
     assert int(completed.stdout) < 90
+
+
+START = pathlib.Path(boot.__file__).parents[1] / "start.py"
+COORDINATOR = {**SETTINGS, "listen": {"control": "127.0.0.1:1"}}
+UNUSABLE = {
+    "no variable": ("gateway", None, "FLAMINGOCLEAT_BOOT is not set"),
+    "no file": ("gateway", "", "boot.json: No such file"),
+    "no JSON": ("gateway", '{"node": "a",\n "ip": }', "boot.json:2: "),
+    "cut": ("coordinator", '{"node": "a",\n\n', "boot.json:3: "),
+    "no text": ("gateway", b'{\n"node": "\xff"}', "boot.json:2: "),
+    "missing field": ("gateway", {"node": "a"}, "field `ip`"),
+    "wrong type": ("gateway", {**SETTINGS, "seeds": 3}, "seeds"),
+    "no interface": (
+        "gateway",
+        {**SETTINGS, "listen": {"front": "127.0.0.1:1"}},
+        "listen.ready is ''",
+    ),
+    "no port": (
+        "coordinator",
+        {**SETTINGS, "listen": {"control": "here"}},
+        "listen.control is 'here'",
+    ),
+    "no folder": ("coordinator", COORDINATOR, "dataDir is not set"),
+}
+
+
+@pytest.mark.parametrize("name", UNUSABLE)
+def test_program_says_what_is_wrong_with_its_settings(tmp_path, name):
+    """An operator must see the file and the fault, not a traceback."""
+    program, document, expected = UNUSABLE[name]
+    path = tmp_path / "boot.json"
+    environment = dict(os.environ)
+    environment.pop(early.BOOT_VARIABLE, None)
+    if document is not None:
+        environment[early.BOOT_VARIABLE] = str(path)
+    if document:
+        data = (
+            document
+            if isinstance(document, bytes | str)
+            else (json.dumps(document))
+        )
+        path.write_bytes(data if isinstance(data, bytes) else data.encode())
+    completed = subprocess.run(
+        [sys.executable, str(START), program],
+        env=environment,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=20,
+    )
+    assert completed.returncode == 2
+    assert completed.stderr.startswith(f"{program}: ")
+    assert expected in completed.stderr
+    assert "Traceback" not in completed.stderr
+    assert completed.stderr.count("\n") == 1
+
+
+# SIGHUP ended a program in the first quarter of a second.
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.15, 0.3])
+def test_reload_during_the_start_does_not_end_a_program(tmp_path, after_s):
+    path = tmp_path / "boot.json"
+    address = local.free_address()
+    document = {
+        **SETTINGS,
+        # Metrics have a fixed port, so each run needs an address of its own.
+        "ip": f"127.{60 + os.getpid() % 100}.{os.getpid() // 100 % 250}.1",
+        "listen": {"front": address, "ready": local.free_address()},
+    }
+    path.write_text(json.dumps(document))
+    with subprocess.Popen(
+        [sys.executable, str(START), "gateway"],
+        env={**os.environ, early.BOOT_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        host, _, port = address.rpartition(":")
+        deadline_s = time.monotonic() + 20
+        while time.monotonic() < deadline_s:
+            # From here on the program's own code runs.
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port)), 1).close()
+                break
+        time.sleep(after_s)
+        process.send_signal(signal.SIGHUP)
+        for line in process.stdout:
+            if "gateway_started" in line:
+                break
+        process.send_signal(signal.SIGTERM)
+        output = process.stdout.read()
+        assert process.wait(20) == 0
+        assert "gateway_stopped" in output
