Close the calls of a stopped coordinator before its storage is opened anew

Cause: a coordinator whose disk failed is replaced within its process; calls that it was answering went on, on connections that nobody closed.

Change: the stop aborts what is left after the drain and waits for it.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -344,6 +344,16 @@
             if connection.idle:
                 connection.transport.close()
 
+    async def close(self) -> None:
+        """Abort all connections and wait until their tasks have ended."""
+        self.close_listener()
+        tasks = [each.task for each in self.connections]
+        for connection in list(self.connections):
+            connection.abort()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     @property
     def busy(self) -> int:
         """Connections on which a request is being served."""
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -251,6 +251,8 @@
         self.http.close_listener()
         self.http.close_idle()
         await asyncio.sleep(DRAIN_WAIT_S if self.http.busy else 0)
+        # The process may go on with another coordinator in place of this one.
+        await self.http.close()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -412,7 +414,7 @@
         """Adopt announced groups while the fleet is still incomplete."""
         now_s = time.monotonic()
         for manager in self.managers.values():
-            manager.adopt(now_s)
+            manager.adopt_early(now_s)
         self._read_states(now_s)
         self._update_served_backends()
         return []
--- a/tests/direct/test_voters.py
+++ b/tests/direct/test_voters.py
@@ -301,3 +301,31 @@
             await cluster.close()
 
     asyncio.run(run())
+
+
+# Calls that a stopped coordinator was answering went on, on connections that
+# nobody closed, while its process opened the storage anew.
+def test_stopped_coordinator_leaves_no_call_behind(tmp_path):
+    async def run():
+        cluster = coordinators.Cluster(tmp_path)
+        await cluster.start(1, bootstrap=True)
+        stopped = cluster.running[1]
+        released = asyncio.Event()
+
+        async def hang(exchange):
+            await released.wait()
+
+        stopped.http.handle = hang
+        address = stopped.settings.http_listen
+        call = asyncio.create_task(
+            http.request(address, "GET", "/document", timeout_s=10)
+        )
+        while not stopped.http.busy:
+            await asyncio.sleep(0.01)
+        tasks = [each.task for each in stopped.http.connections]
+        await cluster.stop(1)
+        assert all(task.done() for task in tasks)
+        with pytest.raises(http.BrokenAnswerError):
+            await call
+
+    asyncio.run(run())
