--- a/src/flamingocleat/version/confirmations.py
+++ b/src/flamingocleat/version/confirmations.py
@@ -56,14 +56,17 @@
         """The last group that a VM was made to leave."""
         self.reading: set[ids.Lifetime] = set()
 
-    def observe(self, announcement: fleet_module.Announcement) -> None:
-        """Confirm a lifetime that is in a group of this term.
+    def observe(
+        self, announcement: fleet_module.Announcement, epoch: ids.Epoch
+    ) -> None:
+        """Confirm a lifetime that is in a group with this epoch, if it may.
+
+        It may if the epoch is of this term.
 
         Only this leader has ordered it since, and its later announcements are
         ordered by their sequence numbers.
         """
-        report = announcement.group
-        if report is not None and self.is_from_this_term(report.epoch):
+        if self.is_from_this_term(epoch):
             self.orders[announcement.lifetime] = None
             self.untold.discard(announcement.lifetime)
 
@@ -164,13 +167,19 @@
         self.reading.discard(lifetime)
         self.read_s[lifetime] = now_s
 
-    def trim(self, known: collections.abc.Set[ids.Lifetime]) -> None:
-        """Forget lifetimes that are gone."""
-        self.orders = {k: v for k, v in self.orders.items() if k in known}
-        self.untold &= known
-        self.read_s = {k: v for k, v in self.read_s.items() if k in known}
-        self.left = {k: v for k, v in self.left.items() if k in known}
-        self.reading &= known
+    def trim(
+        self,
+        known: collections.abc.Mapping[ids.BackendId, fleet_module.Backend],
+    ) -> None:
+        """Forget lifetimes that are gone, once there are more than VMs."""
+        if max(len(self.orders), len(self.read_s)) <= len(known):
+            return
+        current = {each.announcement.lifetime for each in known.values()}
+        self.orders = {k: v for k, v in self.orders.items() if k in current}
+        self.read_s = {k: v for k, v in self.read_s.items() if k in current}
+        self.left = {k: v for k, v in self.left.items() if k in current}
+        self.untold &= current
+        self.reading &= current
 
 
 def _describe(group: fleet_module.GroupReport | None) -> str:
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -114,6 +114,8 @@
         step."""
         self.has_traffic = False
         """Whether requests have arrived; only then are loads rate-limited."""
+        self.unread: list[fleet_module.Backend] = []
+        """VMs whose states should be read, as of the last step."""
         self._layout: layout.Plan | None = None
 
     # Queries.
@@ -206,6 +208,7 @@
         for group in list(self.groups.values()):
             orders.extend(_STEPS[group.phase](self, group, now_s))
         survey = self.survey(now_s)
+        self.unread = survey.unread
         self.vms_by_use = survey.count_by_use()
         self.holders = survey.count_idle_holders()
         orders.extend(self._form(survey, now_s))
@@ -257,15 +260,25 @@
 
     # Groups of an earlier leader.
 
+    def adopt_early(self, now_s: float) -> None:
+        """Adopt groups while VMs still announce themselves to a new leader.
+
+        Gives no orders, but finds the VMs whose states should be read.
+        """
+        if self.engine is None:
+            return
+        self.adopt(now_s)
+        self.unread = self.survey(now_s).unread
+
     def adopt(self, now_s: float) -> None:
         """Adopt groups that an earlier leader formed."""
         if self.engine is None:
             return
         found: dict[tuple[str, ids.Epoch], adoption_module.MembersByRank] = {}
         for backend in self.fleet.of_service(self.service):
-            self.confirmations.observe(backend.announcement)
             report = backend.announcement.group
             if report is not None:
+                self.confirmations.observe(backend.announcement, report.epoch)
                 key = (report.name, report.epoch)
                 found.setdefault(key, {})[report.rank] = backend
         for (name, epoch), ranks in found.items():
@@ -319,10 +332,7 @@
 
         Each read ends with a call of `end_read`.
         """
-        if self.engine is None:
-            return []
-        unread = self.survey(now_s).unread
-        return self.confirmations.begin_reads(unread, now_s)
+        return self.confirmations.begin_reads(self.unread, now_s)
 
     def end_read(
         self, lifetime: ids.Lifetime, state: fleet_module.VmState | None
@@ -970,15 +980,15 @@
         known = set(self.fleet.backends)
         known.update(m for g in self.groups.values() for m in g.members)
         known.update(head.backend for head in self.adoption.heads.values())
-        self.evidence = {
-            lifetime: evidence
-            for lifetime, evidence in self.evidence.items()
-            if lifetime.backend in known and not self.fleet.has_ended(lifetime)
-        }
+        if len(self.evidence) > len(known):
+            self.evidence = {
+                lifetime: evidence
+                for lifetime, evidence in self.evidence.items()
+                if lifetime.backend in known
+                and not self.fleet.has_ended(lifetime)
+            }
         self.load_planner.trim(known)
-        self.confirmations.trim(
-            {b.announcement.lifetime for b in self.fleet.backends.values()}
-        )
+        self.confirmations.trim(self.fleet.backends)
 
 
 _STEPS: dict[
--- a/src/flamingocleat/version/service_survey.py
+++ b/src/flamingocleat/version/service_survey.py
@@ -90,7 +90,9 @@
         """VMs whose states should be read, the most urgent first. Members of
         groups that an earlier leader formed are idle later."""
         certain = _head_states(backends, confirmations)
-        claimed = adoption.claimed_heads(backends)
+        claimed = (
+            adoption.claimed_heads(backends) if confirmations.untold else {}
+        )
         free = [
             each
             for each in unbound
@@ -183,6 +185,8 @@
 
     Its own state, if it tells that, is better evidence.
     """
+    if not claimed:
+        return False
     announcement = backend.announcement
     if announcement.lifetime not in confirmations.untold:
         return False
--- a/tests/direct/test_confirmations.py
+++ b/tests/direct/test_confirmations.py
@@ -215,7 +215,7 @@
     joined = msgspec.structs.replace(
         announcement, group=msgspec.structs.replace(group, epoch=100)
     )
-    known.observe(joined)
+    known.observe(joined, joined.group.epoch)
     assert known.is_confirmed(announcement)
     assert known.expected_orders(lifetime) is None
 
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -169,7 +169,7 @@
         self._probe()
         self._check_serving()
         if self.now_s < self.settled_s:
-            self.manager.adopt(self.now_s)
+            self.manager.adopt_early(self.now_s)
             self._tell_states()
             return
         for order in self.manager.step(self.now_s):
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -10,6 +10,8 @@
 import contextlib
 import json
 import random
+import socket
+import struct
 import time
 
 from flamingocleat.connection import http
@@ -24,6 +26,8 @@
 EVENTS = 24
 SEAL_HEADER = (b"x-response-seal", b"seal")
 SERVING_STATES = ("open", "closing")
+_RESET = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
 LETHAL_PART = "dead"
 """Part of a prompt that crashes each engine that begins to write on it."""
 RESTART_S = 1.0
@@ -34,6 +38,40 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
+def reset_when_closed(transport: asyncio.BaseTransport) -> None:
+    """Let a connection end with a reset, as one that breaks does."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+class UnframedAnswer:
+    """An answer without a length, which ends with its connection."""
+
+    def __init__(self, exchange: http.Exchange) -> None:
+        self.exchange = exchange
+        self.transport = exchange.connection.transport
+        reset_when_closed(self.transport)
+
+    def start(self, status: int, headers: http.Headers) -> None:
+        lines = [b"HTTP/1.1 %d X" % status, b"connection: close"]
+        lines += [b": ".join(header) for header in headers]
+        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    async def send(self, data: bytes) -> None:
+        self.transport.write(data)
+
+    async def finish(self) -> None:
+        """End the connection in order."""
+        while self.transport.get_write_buffer_size():
+            await asyncio.sleep(0.01)
+        sock = self.transport.get_extra_info("socket")
+        linger = struct.pack("ii", 0, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.exchange.finished = True
+
+
 class InvariantLog:
     """Records runs of calls and violations of guarantees."""
 
@@ -67,8 +105,7 @@
 
         async def restart() -> None:
             await asyncio.sleep(delay_s)
-            if not server.is_alive:
-                await server.restart()
+            await server.restart_if_down()
 
         task = asyncio.create_task(restart())
         self.restarts.add(task)
@@ -103,16 +140,27 @@
         """Whether it runs calls but ends the connection without an answer."""
         self.wait_s = 0.0
         """The Retry-After with which it refuses calls; 0 if it takes them."""
+        self.has_length = True
+        """Whether its streams have a length or chunks."""
+        self.stands_still = False
+        """Whether its streams write nothing for now."""
+        self.restart_lock = asyncio.Lock()
+        self.is_moving = False
+        """Whether it is down, and will start at another address."""
+        self.late_s = 0.0
+        """How late its announcements arrive at most, each by itself."""
         self.is_leaving = False
         self.arrivals_s: list[float] = []
         """When calls reached it, in its current incarnation."""
         self.tasks: set[asyncio.Task] = set()
         self.reset_state()
 
-    def reset_state(self) -> None:
+    def reset_state(self, name: str = "") -> None:
         """Begin a new incarnation; only weights on the VM are kept."""
         self.incarnation_count += 1
-        self.name = f"{self.service}-{self.address}-{self.incarnation_count}"
+        self.name = (
+            name or f"{self.service}-{self.address}-{self.incarnation_count}"
+        )
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
         self.orders = 0
@@ -133,9 +181,9 @@
 
     async def start(self) -> None:
         """Begin to listen and to announce itself."""
-        self.is_alive = True
         self.http = http.Server(self._answer)
         await self.http.start(self.address)
+        self.is_alive = True
         self.spawn(self._announce_periodically())
         self.spawn(self._watch_group())
 
@@ -147,20 +195,31 @@
 
     def crash(self) -> None:
         """End at once, without a departure message."""
+        if not self.is_alive:
+            return
         self.is_alive = False
         self.http.close_listener()
         for connection in list(self.http.connections):
+            reset_when_closed(connection.transport)
             connection.abort()
         for task in list(self.tasks):
             task.cancel()
 
-    async def restart(self) -> None:
-        """Start a new incarnation at the same address."""
+    async def restart(self, name: str = "") -> None:
+        """Start a new incarnation, under a new name if none is given."""
         del self.fleet.servers[self.name]
-        self.reset_state()
+        self.reset_state(name)
         self.fleet.servers[self.name] = self
         await self.start()
 
+    async def restart_if_down(self) -> None:
+        """Start a new incarnation if none runs, or is about to elsewhere."""
+        async with self.restart_lock:
+            while self.is_moving:
+                await asyncio.sleep(0.1)
+            if not self.is_alive:
+                await self.restart()
+
     # Announcements.
 
     def heartbeat_body(self) -> dict:
@@ -196,6 +255,8 @@
         body = json.dumps(self.heartbeat_body()).encode()
         if self.announcements_lost or self.is_leaving:
             return
+        if self.late_s:
+            await asyncio.sleep(self.fleet.random.uniform(0.0, self.late_s))
         await self.deliver(body)
 
     async def leave(self) -> bool:
@@ -394,16 +455,19 @@
                 )
         after = exchange.header(b"last-event-id")
         number = int(after) if after.isdigit() else 0
-        exchange.start(200, [*self._echo(exchange), SEAL_HEADER])
+        answer = exchange if self.has_length else UnframedAnswer(exchange)
+        answer.start(200, [*self._echo(exchange), SEAL_HEADER])
         while number < EVENTS:
             await asyncio.sleep(EVENT_S)
+            while self.stands_still:
+                await asyncio.sleep(EVENT_S)
             if not await self._wait_while_stalled(epoch):
                 # Ends the stream in the middle of an event.
-                await exchange.send(b"id: 99")
+                await answer.send(b"id: 99")
                 return
             number += 1
-            await exchange.send(event(request_id, number))
-        await exchange.finish()
+            await answer.send(event(request_id, number))
+        await answer.finish()
 
     def _crash_and_restart(self) -> None:
         if not self.is_alive:
@@ -500,8 +564,9 @@
         self.server = await asyncio.start_server(self._forward, host, int(port))
 
     def reset(self) -> None:
-        """Abort all open connections."""
+        """Reset all open connections."""
         for writer in list(self.writers):
+            reset_when_closed(writer.transport)
             writer.transport.abort()
 
     def restore(self) -> None:
@@ -529,7 +594,8 @@
                 self._copy(upstream_reader, writer, "down"),
             )
         except OSError:
-            return
+            # What one side resets must not end in order at the other.
+            reset_when_closed(writer.transport)
         finally:
             for each in (writer, upstream_writer):
                 if each is not None:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -49,6 +49,15 @@
 """Time within which a gateway heeds a wait that a server names."""
 MAX_CALLS_IN_WAIT = 2
 """Calls of one gateway that may reach a server in its wait after that."""
+SPARE_ADDRESSES = 2
+"""Addresses at which engines may return."""
+MEMORY_MB = 120.0
+"""Memory of each machine. A program uses 50 MB without a load."""
+MAX_IDLE_ROUTES = 4500
+FIRST_FILES = ("log", "vote", "voter", "snapshot")
+"""Files that a coordinator writes in its first start, in this order."""
+FIRST_WRITES_S = 3.0
+"""Time within which it writes them."""
 LETHAL_CRASHES = 5
 MAX_LETHAL_ARRIVALS = 3
 """Requests with the lethal part that may reach engines later than CALM_S after
@@ -119,6 +128,7 @@
             "dataDir": str(data),
             "heartbeatMs": emulator.HEARTBEAT_INTERVAL_S * 1000,
             "bounds": {"stallMs": emulator.STALL_S * 1000, "graceS": 8},
+            "limits": {"memoryMb": MEMORY_MB},
         }
         path = self.folder / "boot.json"
         path.write_text(json.dumps(boot))
@@ -133,6 +143,17 @@
             )
         self.bootstrap = False
 
+    def memory_mb(self) -> float:
+        """Return the resident memory of the process; 0 if there is none."""
+        if self.process is None:
+            return 0.0
+        path = pathlib.Path(f"/proc/{self.process.pid}/statm")
+        try:
+            pages = int(path.read_text().split()[1])
+        except (OSError, IndexError):
+            return 0.0
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     def is_calm(self, since_s: float) -> bool:
         """Return whether no fault has hit it since CALM_S before then."""
         return (
@@ -251,6 +272,13 @@
         ]
         self.fleet = emulator.Fleet(self.invariants, self.control, seed)
         self.proxies: list[emulator.Proxy] = []
+        self.spare_proxies: list[emulator.Proxy] = []
+        """Proxies at addresses that no server uses."""
+        self.crashes_first_starts = "grow_configuration" in faults and (
+            seed % 2 == 1
+        )
+        self.idle_routes = 0
+        """Routes of the configuration that nobody calls."""
         self.version = 0
         self.acknowledged = 0
         self.served = 0
@@ -283,6 +311,7 @@
             await self._start()
             tasks += [asyncio.create_task(self._call(n)) for n in range(6)]
             tasks.append(asyncio.create_task(self._submit_configurations()))
+            tasks.append(asyncio.create_task(self._watch_memory()))
             for address in self.control:
                 tasks.append(
                     asyncio.create_task(self._read_configuration(address))
@@ -308,15 +337,69 @@
             await asyncio.gather(*tasks)
             await self._stop()
 
+    @property
+    def engines(self) -> list[emulator.Server]:
+        return [each for each in self.servers if each.service == "llm"]
+
+    async def find_leader(self) -> Program | None:
+        """Return the coordinator that answers itself, if there is one."""
+        for coordinator in self.coordinators:
+            address = coordinator.address(CONTROL_PORT)
+            try:
+                answer, _ = await http.request(
+                    address, "GET", "/api/Config.Get", timeout_s=0.5
+                )
+            except (http.ConnectError, http.BrokenAnswerError, TimeoutError):
+                continue
+            if answer.status == 200:
+                return coordinator
+        return None
+
+    async def _watch_memory(self) -> None:
+        """Record programs that use more memory than their machines have."""
+        while not self.stopping:
+            for program in (*self.coordinators, *self.gateways):
+                used_mb = program.memory_mb()
+                if used_mb > MEMORY_MB:
+                    self.invariants.record_violation(
+                        "memory", f"{program.node} uses {used_mb:.0f} MB"
+                    )
+                    return
+            await asyncio.sleep(0.2)
+
+    async def _crash_first_starts(self) -> None:
+        """Kill all coordinators, each after one of its first writes."""
+        name = self.random.choice(FIRST_FILES)
+        waiting = {
+            each: each.folder / "data" / name for each in self.coordinators
+        }
+        end_s = time.monotonic() + FIRST_WRITES_S
+        while waiting and time.monotonic() < end_s:
+            for program, path in list(waiting.items()):
+                if path.exists():
+                    program.send(signal.SIGKILL)
+                    del waiting[program]
+            await asyncio.sleep(0)
+        for coordinator in self.coordinators:
+            await coordinator.end(signal.SIGKILL)
+            coordinator.bootstrap = True
+            await coordinator.start()
+
     async def _start(self) -> None:
         for program in (*self.coordinators, *self.gateways):
             await program.start()
-        for number in range(ENGINES + PLAIN_SERVERS):
+        if self.crashes_first_starts:
+            self.injected.append("0.00 crash_first_starts")
+            await self._crash_first_starts()
+        for number in range(ENGINES + PLAIN_SERVERS + SPARE_ADDRESSES):
             ip = f"127.{self.net}.3.{number + 1}"
             service = "llm" if number < ENGINES else "desk"
             proxy = emulator.Proxy(f"{ip}:{PROXY_PORT}", f"{ip}:{ENGINE_PORT}")
             await proxy.start()
             self.proxies.append(proxy)
+            if number >= ENGINES + PLAIN_SERVERS:
+                self.spare_proxies.append(proxy)
+                continue
             server = await self.fleet.add(
                 service, f"d{number % 2}", proxy.target
             )
@@ -371,6 +454,16 @@
                     "kind": "read_only",
                     "service": "desk",
                 },
+                *(
+                    {
+                        **route,
+                        "name": f"idle-{number}",
+                        "pathPrefix": f"/idle{number}/",
+                        "kind": "read_only",
+                        "service": "desk",
+                    }
+                    for number in range(self.idle_routes)
+                ),
             ],
             "services": [
                 {"name": "llm", "engine": _ENGINE},
@@ -591,7 +684,7 @@
     if server.is_alive:
         server.crash()
         await asyncio.sleep(soak.random.uniform(0.1, 3.0))
-        await server.restart()
+        await server.restart_if_down()
 
 
 @fault
@@ -720,6 +813,93 @@
         )
 
 
+@fault
+async def drop_lengths(soak: Soak) -> None:
+    """Let an engine's streams end with their connections."""
+    server = soak.random.choice(soak.engines)
+    server.has_length = False
+    await asyncio.sleep(soak.random.uniform(3.0, 8.0))
+    server.has_length = True
+
+
+@fault
+async def stand_still(soak: Soak) -> None:
+    """Let an engine write nothing for a while, and go on."""
+    server = soak.random.choice(soak.engines)
+    server.stands_still = True
+    await asyncio.sleep(soak.random.uniform(0.4, 2.5))
+    server.stands_still = False
+
+
+@fault
+async def delay_announcements(soak: Soak) -> None:
+    """Let announcements of some engines arrive late and out of order."""
+    servers = soak.random.sample(soak.engines, 3)
+    for server in servers:
+        server.late_s = soak.random.uniform(0.5, 3.0)
+    await asyncio.sleep(soak.random.uniform(1.0, 4.0))
+    for server in servers:
+        server.late_s = 0.0
+
+
+@fault
+async def lose_leader_beside_late_announcements(soak: Soak) -> None:
+    """Kill the leader as an engine is lost and announcements are late."""
+    servers = soak.random.sample(soak.engines, 4)
+    for server in servers:
+        server.late_s = soak.random.uniform(1.0, 3.0)
+    lost = soak.random.choice(soak.engines)
+    if lost.is_alive:
+        lost.crash()
+    await asyncio.sleep(soak.random.uniform(0.0, 1.5))
+    leader = await soak.find_leader()
+    if leader is not None:
+        async with leader.restart_lock:
+            await leader.end(signal.SIGKILL)
+            await asyncio.sleep(soak.random.uniform(0.0, 2.0))
+            await leader.start()
+    await asyncio.sleep(soak.random.uniform(1.0, 3.0))
+    for server in servers:
+        server.late_s = 0.0
+    await lost.restart_if_down()
+
+
+@fault
+async def return_elsewhere(soak: Soak) -> None:
+    """Let an engine return under its id while its address serves others.
+
+    Nothing is sent to the other service, which is not configured.
+    """
+    server = soak.random.choice(soak.engines)
+    spare = next((each for each in soak.spare_proxies), None)
+    if not server.is_alive or spare is None or server.is_leaving:
+        return
+    soak.spare_proxies.remove(spare)
+    name, address, announced = server.name, server.address, server.announced
+    server.is_moving = True
+    server.crash()
+    await asyncio.sleep(soak.random.uniform(0.3, 1.0))
+    other = await soak.fleet.add("other", server.domain, address)
+    other.announced = announced
+    await asyncio.sleep(soak.random.uniform(0.5, 1.5))
+    server.address, server.announced = spare.target, spare.listen
+    await server.restart(name)
+    server.is_moving = False
+    await asyncio.sleep(soak.random.uniform(2.0, 6.0))
+    other.crash()
+    del soak.fleet.servers[other.name]
+    soak.spare_proxies.append(
+        next(each for each in soak.proxies if each.target == address)
+    )
+
+
+@fault
+async def grow_configuration(soak: Soak) -> None:
+    """Let the configuration grow by many routes for the rest of the run."""
+    soak.idle_routes = min(soak.idle_routes + 1500, MAX_IDLE_ROUTES)
+    await asyncio.sleep(0)
+
+
 async def run_seed(
     seed: int,
     duration_s: float,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -11,7 +11,17 @@
     8: "the same, beside a coordinator that was killed",
     1: "never failed",
 }
-LATER_FAULTS = {"ask_to_wait", "leave_server", "send_lethal_prompts"}
+LATER_FAULTS = {
+    "ask_to_wait",
+    "leave_server",
+    "send_lethal_prompts",
+    "drop_lengths",
+    "stand_still",
+    "delay_announcements",
+    "lose_leader_beside_late_announcements",
+    "return_elsewhere",
+    "grow_configuration",
+}
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
 SEEDS_OF_ALL_FAULTS = {
