Let the soak's servers refuse connections while they are down

Cause, from its logs: the proxy before an engine goes on accepting after the engine has crashed, so no gateway saw an end to blame prompts for (no head_ended_before_answer line in the run); on the platform the address of a crashed server refuses. The check and its bounds are unchanged.

--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -132,6 +132,9 @@
         """The address at which it listens."""
         self.announced = address
         """The address that it announces: a proxy's, or its own."""
+        self.proxy: Proxy | None = None
+        """The proxy at that address, which refuses connections while the server
+        is down."""
         self.incarnation_count = 0
         self.staged = ""
         self.announcements_lost = False
@@ -183,6 +186,8 @@
         """Begin to listen and to announce itself."""
         self.http = http.Server(self._answer)
         await self.http.start(self.address)
+        if self.proxy is not None:
+            await self.proxy.start()
         self.is_alive = True
         self.spawn(self._announce_periodically())
         self.spawn(self._watch_group())
@@ -199,6 +204,8 @@
             return
         self.is_alive = False
         self.http.close_listener()
+        if self.proxy is not None:
+            self.proxy.server.close()
         for connection in list(self.http.connections):
             reset_when_closed(connection.transport)
             connection.abort()
@@ -558,8 +565,12 @@
         self.dropped_directions: set[str] = set()
         """Directions, "up" or "down", in which bytes are lost."""
         self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
+        """Listen, if it does not yet."""
+        if self.server is not None and self.server.is_serving():
+            return
         host, _, port = self.listen.rpartition(":")
         self.server = await asyncio.start_server(self._forward, host, int(port))
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -403,7 +403,7 @@
             server = await self.fleet.add(
                 service, f"d{number % 2}", proxy.target
             )
-            server.announced = proxy.listen
+            server.announced, server.proxy = proxy.listen, proxy
 
     async def _stop(self) -> None:
         for task in self.fleet.restarts:
@@ -880,17 +880,18 @@
     server.crash()
     await asyncio.sleep(soak.random.uniform(0.3, 1.0))
     other = await soak.fleet.add("other", server.domain, address)
-    other.announced = announced
+    other.announced, other.proxy = announced, server.proxy
+    await other.proxy.start()
     await asyncio.sleep(soak.random.uniform(0.5, 1.5))
     server.address, server.announced = spare.target, spare.listen
+    server.proxy = spare
     await server.restart(name)
     server.is_moving = False
     await asyncio.sleep(soak.random.uniform(2.0, 6.0))
     other.crash()
     del soak.fleet.servers[other.name]
-    soak.spare_proxies.append(
-        next(each for each in soak.proxies if each.target == address)
-    )
+    await other.proxy.start()
+    soak.spare_proxies.append(other.proxy)
 
 
 @fault
