--- a/src/flamingocleat/version/confirmations.py
+++ b/src/flamingocleat/version/confirmations.py
@@ -59,12 +59,10 @@
     def observe(
         self, announcement: fleet_module.Announcement, epoch: ids.Epoch
     ) -> None:
-        """Confirm a lifetime that is in a group with this epoch, if it may.
+        """Confirm a lifetime that is in a group of this term.
 
-        It may if the epoch is of this term.
-
-        Only this leader has ordered it since, and its later announcements are
-        ordered by their sequence numbers.
+        The epoch fences it from earlier leaders, and its sequence numbers order
+        what it announces from now on.
         """
         if self.is_from_this_term(epoch):
             self.orders[announcement.lifetime] = None
