Count orders to leave as they are sent, and read VMs again after loads

A VM's announcement that it has left overtakes the answer to the order to leave, so the join was bound to the count before it; and an order to load that is under way already is answered as begun without being counted.

Change: an order to leave counts when it is sent; a VM is read again after an order to load. The new tests of both failed before.

--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -474,6 +474,10 @@
     ) -> None:
         sent_s = time.monotonic()
         ordered = self.fleet.backends.get(order.backend)
+        if ordered is not None:
+            manager.confirmations.on_order_sent(
+                order, ordered.announcement.lifetime
+            )
         outcome = await self.platform.order(order)
         _ORDERS.labels(op=order.op.value, outcome=outcome.value).inc()
         logs.info(
--- a/src/flamingocleat/version/confirmations.py
+++ b/src/flamingocleat/version/confirmations.py
@@ -134,24 +134,47 @@
         if is_same:
             self.orders[lifetime] = state.orders
 
-    def count_order(
-        self, order: orders_module.Order, lifetime: ids.Lifetime, effect: Effect
+    def on_order_sent(
+        self, order: orders_module.Order, lifetime: ids.Lifetime
+    ) -> None:
+        """Count an order to leave, which a VM carries out at once and once.
+
+        It is counted before it is answered, since the VM's announcement that it
+        has left may overtake the answer.
+        """
+        known = self.orders.get(lifetime)
+        if (
+            known is not None
+            and order.op is orders_module.Op.LEAVE
+            and self.left.get(lifetime) != order.epoch
+        ):
+            self.left[lifetime] = order.epoch
+            self.orders[lifetime] = known + 1
+
+    def on_order_answered(
+        self,
+        order: orders_module.Order,
+        lifetime: ids.Lifetime,
+        effect: Effect,
+        now_s: float,
     ) -> None:
         """Follow the number of orders that a VM has accepted.
 
         A join needs no later order to be bound: if the VM has accepted it, its
-        epoch fences the VM from earlier leaders.
+        epoch fences the VM from earlier leaders. Orders to load weights do not
+        count if the load is under way, and unanswered ones may count later.
         """
         known = self.orders.get(lifetime)
         if known is None:
             return
-        if order.op is orders_module.Op.JOIN and effect is not Effect.REFUSED:
-            self.orders[lifetime] = None
-        elif order.op is orders_module.Op.LEAVE and effect is Effect.HOLDS:
-            # A VM leaves at once, and only once.
-            if self.left.get(lifetime) != order.epoch:
-                self.left[lifetime] = order.epoch
-                self.orders[lifetime] = known + 1
+        op = order.op
+        if op is orders_module.Op.JOIN:
+            if effect is not Effect.REFUSED:
+                self.orders[lifetime] = None
+            elif order.expected_orders is not None:
+                self.invalidate(lifetime, now_s)
+        elif effect is Effect.UNKNOWN or op is orders_module.Op.STAGE:
+            self.invalidate(lifetime, now_s)
         elif effect is Effect.BEGUN:
             self.orders[lifetime] = known + 1
 
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -234,13 +234,9 @@
             effect: What it did, as far as the VM said.
             now_s: Current time.
         """
-        is_join = order.op is orders_module.Op.JOIN
-        self.confirmations.count_order(order, lifetime, effect)
-        if effect is confirmations_module.Effect.UNKNOWN and not is_join:
-            self.confirmations.invalidate(lifetime, now_s)
+        self.confirmations.on_order_answered(order, lifetime, effect, now_s)
         is_refused = effect is confirmations_module.Effect.REFUSED
         if is_refused and order.expected_orders is not None:
-            self.confirmations.invalidate(lifetime, now_s)
             self.on_order_refused(order, now_s)
 
     def on_order_refused(self, order: Order, now_s: float) -> None:
--- a/tests/direct/test_confirmations.py
+++ b/tests/direct/test_confirmations.py
@@ -242,3 +242,60 @@
     assert len(first) == confirmations.MAX_READS
     known.end_read(first[0].announcement.lifetime, None, None)
     assert len(known.begin_reads(backends, 1.0)) == 1
+
+
+def _confirmed(orders_read: int):
+    """Return confirmations with one VM that has accepted some orders."""
+    known = confirmations.Confirmations(lambda epoch: False)
+    announcement = fleet_module.Announcement(
+        backend="vm-1",
+        born_ms=5,
+        sequence=1,
+        service="llm",
+        address="10.0.0.1:80",
+        data_centre="a",
+        state=fleet_module.BackendState.READY,
+    )
+    known.begin_reads([fleet_module.Backend(announcement, 0.0)], 0.0)
+    state = fleet_module.VmState(born_ms=5, orders=orders_read)
+    known.end_read(announcement.lifetime, announcement, state)
+    return known, announcement.lifetime
+
+
+def order(op: orders.Op, **changes) -> orders.Order:
+    return orders.Order(op=op, backend="vm-1", address="10.0.0.1:80", **changes)
+
+
+# The first join after an order to leave was refused, as the VM's announcement
+# overtook the answer: each such group was formed 0.4 s later.
+def test_order_to_leave_counts_once_and_before_it_is_answered():
+    known, lifetime = _confirmed(4)
+    leave = order(orders.Op.LEAVE, epoch=7)
+    for _ in range(3):
+        known.on_order_sent(leave, lifetime)
+        assert known.expected_orders(lifetime) == 5
+        known.on_order_answered(
+            leave, lifetime, confirmations.Effect.HOLDS, 1.0
+        )
+        assert known.expected_orders(lifetime) == 5
+
+
+@pytest.mark.parametrize(
+    ("op", "effect", "expected"),
+    [
+        (orders.Op.OPEN, confirmations.Effect.BEGUN, 5),
+        (orders.Op.CLOSE, confirmations.Effect.BEGUN, 5),
+        (orders.Op.CLOSE, confirmations.Effect.HOLDS, 4),
+        (orders.Op.OPEN, confirmations.Effect.REFUSED, 4),
+        # A load that is under way is begun again without a count.
+        (orders.Op.STAGE, confirmations.Effect.BEGUN, None),
+        (orders.Op.LEAVE, confirmations.Effect.UNKNOWN, None),
+        (orders.Op.CLOSE, confirmations.Effect.UNKNOWN, None),
+    ],
+)
+def test_count_follows_what_orders_did(op, effect, expected):
+    """A VM whose count is not certain must be read again."""
+    known, lifetime = _confirmed(4)
+    known.on_order_answered(order(op), lifetime, effect, 1.0)
+    assert known.expected_orders(lifetime) == expected
+    assert (lifetime in known.orders) is (expected is not None)
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -248,6 +248,7 @@
         if not vm.alive or vm.backend in self.unreachable:
             return
         before = vm.orders
+        self.manager.confirmations.on_order_sent(order, vm.lifetime)
         effect = confirmations.Effect.REFUSED
         if order.expected_orders in (None, before):
             self.carry_out(vm, order)
