Count an order to leave as the VM announces that it has left

Change: the count that a join is bound to includes the order to leave once the VM's announcement shows its effect, whether or not the order is answered by then. An unanswered order still lets the VM be read again.

--- a/src/flamingocleat/version/confirmations.py
+++ b/src/flamingocleat/version/confirmations.py
@@ -52,8 +52,8 @@
         """Those of them that do not tell their state."""
         self.read_s: dict[ids.Lifetime, float] = {}
         """When the last read of a lifetime began, or was spoilt."""
-        self.left: dict[ids.Lifetime, ids.Epoch] = {}
-        """The last group that a VM was made to leave."""
+        self.leaving: dict[ids.Lifetime, ids.Epoch] = {}
+        """Groups that VMs were ordered to leave since they were read."""
         self.reading: set[ids.Lifetime] = set()
 
     def observe(
@@ -72,9 +72,20 @@
         """Return whether an announcement is known to be current."""
         return announcement.lifetime in self.orders
 
-    def expected_orders(self, lifetime: ids.Lifetime) -> int | None:
-        """Return the order count that an order to join must be bound to."""
-        return self.orders.get(lifetime)
+    def expected_orders(
+        self, announcement: fleet_module.Announcement
+    ) -> int | None:
+        """Return the order count that an order to join must be bound to.
+
+        An order to leave counts once the VM announces that it has left, which
+        may be before the order is answered.
+        """
+        known = self.orders.get(announcement.lifetime)
+        left = self.leaving.get(announcement.lifetime)
+        if known is None or left is None:
+            return known
+        group = announcement.group
+        return known + (group is None or group.epoch != left)
 
     def begin_reads(
         self,
@@ -133,23 +144,17 @@
         )
         if is_same:
             self.orders[lifetime] = state.orders
+            self.leaving.pop(lifetime, None)
 
     def on_order_sent(
         self, order: orders_module.Order, lifetime: ids.Lifetime
     ) -> None:
-        """Count an order to leave, which a VM carries out at once and once.
-
-        It is counted before it is answered, since the VM's announcement that it
-        has left may overtake the answer.
-        """
-        known = self.orders.get(lifetime)
+        """Remember an order to leave, which a VM carries out at once."""
         if (
-            known is not None
-            and order.op is orders_module.Op.LEAVE
-            and self.left.get(lifetime) != order.epoch
+            order.op is orders_module.Op.LEAVE
+            and self.orders.get(lifetime) is not None
         ):
-            self.left[lifetime] = order.epoch
-            self.orders[lifetime] = known + 1
+            self.leaving[lifetime] = order.epoch
 
     def on_order_answered(
         self,
@@ -185,6 +190,7 @@
         """
         if self.orders.get(lifetime) is not None:
             del self.orders[lifetime]
+        self.leaving.pop(lifetime, None)
         self.reading.discard(lifetime)
         self.read_s[lifetime] = now_s
 
@@ -198,7 +204,7 @@
         current = {each.announcement.lifetime for each in known.values()}
         self.orders = {k: v for k, v in self.orders.items() if k in current}
         self.read_s = {k: v for k, v in self.read_s.items() if k in current}
-        self.left = {k: v for k, v in self.left.items() if k in current}
+        self.leaving = {k: v for k, v in self.leaving.items() if k in current}
         self.untold &= current
         self.reading &= current
 
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -922,9 +922,7 @@
             group=group.name,
             epoch=group.epoch,
             members=group.members,
-            expected_orders=self.confirmations.expected_orders(
-                announcement.lifetime
-            ),
+            expected_orders=self.confirmations.expected_orders(announcement),
         )
 
     def _leave(self, group: Group, backend: fleet_module.Backend) -> Order:
