--- a/tests/direct/test_confirmations.py
+++ b/tests/direct/test_confirmations.py
@@ -180,12 +180,10 @@
     assert min(simulation.open_groups().values()) > 0
 
 
-def test_vm_that_contradicts_its_announcement_is_read_again():
-    """A VM must be confirmed by an announcement that matches its state."""
-    known = confirmations.Confirmations(lambda epoch: epoch >= 100)
-    group = fleet_module.GroupReport("g", ids.Epoch(7), 0, STATE.OPEN)
-    announcement = fleet_module.Announcement(
-        backend="vm-1",
+def announce_first(backend: str) -> fleet_module.Announcement:
+    """Return the first announcement of a VM, which is in no group."""
+    return fleet_module.Announcement(
+        backend=backend,
         born_ms=5,
         sequence=1,
         service="llm",
@@ -193,6 +191,13 @@
         data_centre="a",
         state=fleet_module.BackendState.READY,
     )
+
+
+def test_vm_that_contradicts_its_announcement_is_read_again():
+    """A VM must be confirmed by an announcement that matches its state."""
+    known = confirmations.Confirmations(lambda epoch: epoch >= 100)
+    group = fleet_module.GroupReport("g", ids.Epoch(7), 0, STATE.OPEN)
+    announcement = announce_first("vm-1")
     backend = fleet_module.Backend(announcement, 0.0)
     lifetime = announcement.lifetime
     states = {
@@ -224,18 +229,7 @@
     """A leader must not read all VMs of a region at the same time."""
     known = confirmations.Confirmations(lambda epoch: False)
     backends = [
-        fleet_module.Backend(
-            fleet_module.Announcement(
-                backend=f"vm-{number}",
-                born_ms=5,
-                sequence=1,
-                service="llm",
-                address="10.0.0.1:80",
-                data_centre="a",
-                state=fleet_module.BackendState.READY,
-            ),
-            0.0,
-        )
+        fleet_module.Backend(announce_first(f"vm-{number}"), 0.0)
         for number in range(1000)
     ]
     first = known.begin_reads(backends, 0.0)
@@ -247,15 +241,7 @@
 def _confirmed(orders_read: int):
     """Return confirmations with one VM that has accepted some orders."""
     known = confirmations.Confirmations(lambda epoch: False)
-    announcement = fleet_module.Announcement(
-        backend="vm-1",
-        born_ms=5,
-        sequence=1,
-        service="llm",
-        address="10.0.0.1:80",
-        data_centre="a",
-        state=fleet_module.BackendState.READY,
-    )
+    announcement = announce_first("vm-1")
     known.begin_reads([fleet_module.Backend(announcement, 0.0)], 0.0)
     state = fleet_module.VmState(born_ms=5, orders=orders_read)
     known.end_read(announcement.lifetime, announcement, state)
