Find a new leader although a minority names the deposed one

Attempts now overlap, the voter that was tried longest ago is next, and a hint takes no other voter's turn. Voters name only a leader that they have heard from within an election timeout. Agents and entries follow no two hints in a row.

test_leader_search.py failed before: one of five orders of the list never found the leader, and all three circles of hints hid it.

--- a/src/flamingocleat/connection/announce.py
+++ b/src/flamingocleat/connection/announce.py
@@ -94,6 +94,7 @@
             order = await grpc_errors.receive(stream)
             if not self.connected:
                 self.connected = True
+                self.leader.connected()
                 logs.info(_log, "session_started", address=address)
             silence.reschedule(loop.time() + SILENCE_S)
             if not order.unchanged:
--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -16,7 +16,6 @@
 
 import grpclib
 import grpclib.client
-import grpclib.const
 import msgspec
 
 from flamingocleat import errors
@@ -26,6 +25,7 @@
 from flamingocleat.connection import codec
 from flamingocleat.connection import duplex
 from flamingocleat.connection import grpc_errors
+from flamingocleat.connection import leader
 from flamingocleat.connection import packing
 from flamingocleat.process import logs
 from flamingocleat.version import catalog as catalog_module
@@ -51,8 +51,8 @@
 """Minimum number of heads of one model, or of plain servers of one service,
 that a gateway receives. The least loaded of this many is hardly busier than
 the least loaded of all."""
-RECONNECT_PAUSE_S = 0.1
-"""Pause after every known address has failed, to avoid a busy loop."""
+SEARCH_STEP_S = 0.05
+"""Interval of the check whether another voter should be tried."""
 
 STREAM_ERRORS = (
     *grpc_errors.CONNECTION_ERRORS,
@@ -410,6 +410,19 @@
         return has_changes
 
 
+class _Attempt:
+    """An attempt of a gateway to follow one voter."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.reads_packed = False
+        """Whether the voter reads compressed reports."""
+        self.sent_crashes = -1
+        """Version of the own evidence that was last sent on this stream."""
+        self.hint = ""
+        """The leader that the voter named as the attempt ended."""
+
+
 class Subscriber:
     """A gateway's side of its stream to the leader."""
 
@@ -419,19 +432,22 @@
         report: collections.abc.Callable[[int], messages.GatewayReport],
         on_view: collections.abc.Callable[[messages.GatewayView], None],
         crashes: crashes_module.CrashRecord | None = None,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.seeds = seeds
         self.report = report
         self.on_view = on_view
         self.crashes = crashes or crashes_module.CrashRecord()
-        self.sent_crashes = -1
-        """Version of the own evidence that was last sent on this stream."""
+        self.clock = clock
         self.voters: tuple[str, ...] = ()
         self.heard_s = float("-inf")
         self.gateways = 1
         """Gateways known to the leader, which determine the interval."""
         self.term = 0
-        self.leader_reads_packed = False
+        self.search = leader.LeaderSearch()
+        self.leading: _Attempt | None = None
+        """The attempt that found the leader, while its stream lasts."""
+        self.found = asyncio.Event()
         self.sequence = itertools.count(1)
         self.report_now = asyncio.Event()
         """Set to send a report to the leader without delay."""
@@ -439,70 +455,113 @@
 
     async def run(self) -> None:
         """Stay connected to the current leader until cancelled."""
-        hint = ""
         while True:
-            addresses = [hint] if hint else self._addresses()
-            hint = ""
-            for address in addresses:
-                hint = await self._follow_voter(address)
-                if hint and hint != address:
-                    break
-            else:
-                hint = ""
-                await asyncio.sleep(RECONNECT_PAUSE_S)
+            await self._find_and_follow()
 
     def _on_crashes(self) -> None:
-        if self._has_unsent_crashes():
+        if self.leading is not None and self._has_unsent_crashes(self.leading):
             self.report_now.set()
 
-    def _has_unsent_crashes(self) -> bool:
+    def _has_unsent_crashes(self, attempt: _Attempt) -> bool:
         return (
             bool(self.crashes.crashes)
-            and self.sent_crashes != self.crashes.own_version
+            and attempt.sent_crashes != self.crashes.own_version
         )
 
     def _addresses(self) -> list[str]:
         return list(dict.fromkeys((*self.voters, *self.seeds())))
 
-    async def _follow_voter(self, address: str) -> str:
-        """Follow one voter until it fails; return its leader hint."""
+    async def _find_and_follow(self) -> None:
+        """Try voters until one leads, and follow it until its stream ends.
+
+        A voter that is silent delays only its own attempt.
+        """
+        self.leading = None
+        self.found.clear()
+        attempts: dict[asyncio.Task[None], _Attempt] = {}
+        try:
+            while self.leading is None:
+                address = self.search.next_address(
+                    self._addresses(), self.clock()
+                )
+                if address:
+                    attempt = _Attempt(address)
+                    task = asyncio.create_task(self._follow_voter(attempt))
+                    attempts[task] = attempt
+                else:
+                    await self._wait_for_progress(attempts)
+                for task in [task for task in attempts if task.done()]:
+                    self._end(attempts.pop(task))
+            for task, attempt in list(attempts.items()):
+                if attempt is not self.leading:
+                    task.cancel()
+            await asyncio.gather(*attempts, return_exceptions=True)
+        finally:
+            self.leading = None
+            for task in attempts:
+                task.cancel()
+            await asyncio.gather(*attempts, return_exceptions=True)
+            for attempt in attempts.values():
+                self._end(attempt)
+
+    async def _wait_for_progress(
+        self, attempts: collections.abc.Iterable[asyncio.Task[None]]
+    ) -> None:
+        """Wait until an attempt ends or succeeds, or another may be due."""
+        found = asyncio.create_task(self.found.wait())
+        try:
+            await asyncio.wait(
+                {found, *attempts},
+                timeout=SEARCH_STEP_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            found.cancel()
+
+    def _end(self, attempt: _Attempt) -> None:
+        self.search.end(attempt.address, attempt.hint, self.clock())
+
+    async def _follow_voter(self, attempt: _Attempt) -> None:
+        """Follow one voter until it fails; keep its leader hint."""
         reason = "stream ended"
-        hint = ""
-        grpc_channel = channel.dial(address)
-        heard_s = self.heard_s
-        self.leader_reads_packed = False
+        grpc_channel = channel.dial(attempt.address)
         try:
-            await duplex.run_in_task(self._follow(grpc_channel))
+            await duplex.run_in_task(self._follow(grpc_channel, attempt))
         except grpclib.GRPCError as error:
             reason = f"{error.status.name} {error.message}"
-            if error.status is grpclib.const.Status.FAILED_PRECONDITION:
-                hint = error.message or ""
+            attempt.hint = leader.hint_of(error)
         except STREAM_ERRORS as error:
             reason = str(error) or type(error).__name__
         except Exception as error:
             # The gateway continues to serve with the view that it has.
             reason = repr(error)
-            logs.error(_log, "feed_failed", address=address, reason=reason)
+            logs.error(
+                _log,
+                "feed_failed",
+                address=attempt.address,
+                reason=reason,
+            )
         finally:
             grpc_channel.close()
-        was_connected = self.heard_s > heard_s
         logs.info(
             _log,
-            "leader_lost" if was_connected else "leader_not_found",
-            address=address,
+            "leader_lost" if self.leading is attempt else "leader_not_found",
+            address=attempt.address,
             reason=reason,
-            hint=hint,
+            hint=attempt.hint,
         )
-        return hint
 
-    async def _follow(self, grpc_channel: grpclib.client.Channel) -> None:
-        self.sent_crashes = -1
+    async def _follow(
+        self, grpc_channel: grpclib.client.Channel, attempt: _Attempt
+    ) -> None:
         async with codec.GATEWAY_FEED.open(grpc_channel) as stream:
             async with asyncio.timeout(silence_s(self.gateways)):
-                await self._send(stream)
-            await duplex.run_both(self._receive(stream), self._report(stream))
+                await self._send(stream, attempt)
+            await duplex.run_both(
+                self._receive(stream, attempt), self._report(stream, attempt)
+            )
 
-    async def _receive(self, stream: typing.Any) -> None:
+    async def _receive(self, stream: typing.Any, attempt: _Attempt) -> None:
         while True:
             async with asyncio.timeout(silence_s(self.gateways)):
                 view = await stream.recv_message()
@@ -510,12 +569,8 @@
                     await stream.recv_trailing_metadata()
                     return
             view = packing.unpack_view(view)
-            self.leader_reads_packed = view.reads_packed
-            if view.term < self.term:
-                raise errors.ProtocolError(
-                    f"the leader's term {view.term} is older than {self.term}"
-                )
-            self.term = view.term
+            self._check_term(view, attempt)
+            attempt.reads_packed = view.reads_packed
             self.heard_s = time.monotonic()
             self.gateways = view.gateways
             self.voters = view.voters or self.voters
@@ -523,20 +578,38 @@
                 self.crashes.merge(view.crashes)
             self.on_view(view)
 
-    async def _report(self, stream: typing.Any) -> None:
+    def _check_term(
+        self, view: messages.GatewayView, attempt: _Attempt
+    ) -> None:
+        """Follow the voter that sent a view; raise if it is outdated."""
+        if view.term < self.term:
+            raise errors.ProtocolError(
+                f"the leader's term {view.term} is older than {self.term}"
+            )
+        self.term = view.term
+        if self.leading is None:
+            self.leading = attempt
+            self.found.set()
+            logs.info(
+                _log, "leader_found", address=attempt.address, term=view.term
+            )
+        elif self.leading is not attempt:
+            raise errors.ProtocolError("another voter has answered first")
+
+    async def _report(self, stream: typing.Any, attempt: _Attempt) -> None:
         while True:
             await duplex.wait_event(self.report_now, interval_s(self.gateways))
-            await self._send(stream)
+            await self._send(stream, attempt)
 
-    async def _send(self, stream: typing.Any) -> None:
+    async def _send(self, stream: typing.Any, attempt: _Attempt) -> None:
         report = msgspec.structs.replace(
             self.report(next(self.sequence)), reads_packed=True
         )
-        if self._has_unsent_crashes():
-            self.sent_crashes = self.crashes.own_version
+        if self._has_unsent_crashes(attempt):
+            attempt.sent_crashes = self.crashes.own_version
             report = msgspec.structs.replace(
                 report, crashes=self.crashes.evidence()
             )
-        if self.leader_reads_packed:
+        if attempt.reads_packed:
             report = packing.pack_report(report)
         await stream.send_message(report)
--- a/src/flamingocleat/connection/watch.py
+++ b/src/flamingocleat/connection/watch.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import collections.abc
-import itertools
 import threading
 import time
 
@@ -19,6 +18,7 @@
 from flamingocleat.connection import codec
 from flamingocleat.connection import duplex
 from flamingocleat.connection import grpc_errors
+from flamingocleat.connection import leader
 from flamingocleat.process import logs
 from flamingocleat.process import settings
 from flamingocleat.version import routing
@@ -129,11 +129,10 @@
 
     async def run(self) -> None:
         """Follow the leader until the task is cancelled."""
-        addresses = itertools.cycle(self.settings.control)
-        hint = ""
+        finder = leader.LeaderFinder(self.settings.control, first=0)
         failed = 0
         while True:
-            address = hint or next(addresses)
+            address = finder.address()
             confirmed_s = self.confirmed_s
             try:
                 hint = await duplex.run_in_task(self._follow(address))
@@ -147,6 +146,9 @@
                 )
                 hint = ""
             failed = 0 if self.confirmed_s > confirmed_s else failed + 1
+            if not failed:
+                finder.connected()
+            finder.hint = hint
             if failed >= len(self.settings.control):
                 failed = 0
                 await asyncio.sleep(RECONNECT_PAUSE_S)
@@ -159,8 +161,7 @@
             await self._watch(grpc_channel)
         except grpclib.GRPCError as error:
             reason = f"{error.status.name} {error.message}"
-            if error.status is grpclib.const.Status.FAILED_PRECONDITION:
-                hint = _address(error.message)
+            hint = leader.hint_of(error)
         except STREAM_ERRORS as error:
             reason = str(error) or type(error).__name__
         finally:
@@ -169,7 +170,7 @@
         logs.info(
             _log, "control_lost", address=address, reason=reason, hint=hint
         )
-        return hint if hint != address else ""
+        return hint
 
     async def _watch(self, grpc_channel: grpclib.client.Channel) -> None:
         status_times = StatusTimes()
@@ -417,9 +418,3 @@
             watched.report_s = now_s
         if before != (candidate.load.slots, candidate.serving, True):
             self._notify()
-
-
-def _address(message: str | None) -> str:
-    """Return the leader's address from a follower's refusal, or ""."""
-    host, _, port = (message or "").strip().rpartition(":")
-    return f"{host}:{port}" if host and port.isdigit() else ""
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -67,8 +67,6 @@
 CONFIRM_TIMEOUT_S = 0.9
 """Below the one second after which callers try another voter."""
 COMMIT_TIMEOUT_S = 3.0
-LEADER_TIMEOUT_S = consensus_module.ELECTION_TIMEOUT_MAX_S
-"""Callers are not redirected to a leader that has been silent for longer."""
 MAX_DOCUMENT_BYTES = 16_777_216
 SNAPSHOT_ENTRIES = 200
 LOG_MEMORY_FRACTION = 1 / 24
@@ -616,8 +614,7 @@
             async with asyncio.timeout(MAX_REDIRECT_WAIT_S):
                 await self.leadership.admit()
         except errors.NotLeaderError as error:
-            heard_s = time.monotonic() - self.consensus.leader_heard_s
-            if not error.leader_hint or heard_s > LEADER_TIMEOUT_S:
+            if not error.leader_hint:
                 raise Reply(503, b"no leader is known\n") from error
             location = f"http://{self._http_address(error.leader_hint)}{target}"
             raise Reply(
--- a/src/flamingocleat/process/leadership.py
+++ b/src/flamingocleat/process/leadership.py
@@ -51,9 +51,7 @@
         if term == self.term:
             return
         if self.term:
-            self._end_leadership(
-                errors.NotLeaderError(self.consensus.leader_address)
-            )
+            self._end_leadership(errors.NotLeaderError(self.leader_hint()))
         self.term = term
         if term:
             self.announce_wait_start_s = self.clock()
@@ -71,7 +69,18 @@
         if self.confirmation is not None and not self.ready.is_set():
             await asyncio.wait([self.confirmation])
         if not self.ready.is_set():
-            raise errors.NotLeaderError(self.consensus.leader_address)
+            raise errors.NotLeaderError(self.leader_hint())
+
+    def leader_hint(self) -> str:
+        """Return the leader's address, or an empty string.
+
+        A leader that has been silent for an election timeout may have been
+        deposed.
+        """
+        silent_s = self.clock() - self.consensus.leader_heard_s
+        if silent_s > consensus_module.ELECTION_TIMEOUT_MAX_S:
+            return ""
+        return self.consensus.leader_address
 
     def restart_announce_wait(self, reason: str) -> None:
         """Give agents time to announce again before VMs count as lost."""
