--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import time
 
@@ -22,6 +21,7 @@
 from flamingocleat.connection import feed
 from flamingocleat.connection import http
 from flamingocleat.connection import platform as platform_module
+from flamingocleat.process import capacity_metrics
 from flamingocleat.process import consensus as consensus_module
 from flamingocleat.process import gateway
 from flamingocleat.process import leadership as leadership_module
@@ -38,7 +38,6 @@
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
 from flamingocleat.version import orders as orders_module
-from flamingocleat.version import service_survey
 
 _log = logs.logger("coordinator")
 
@@ -92,41 +91,11 @@
 _ORDERS = prometheus_client.Counter(
     "flamingocleat_coordinator_orders", "Orders given", ["op", "outcome"]
 )
-_GROUPS = prometheus_client.Gauge(
-    "flamingocleat_coordinator_groups", "Groups that serve"
-)
-_VMS = prometheus_client.Gauge(
-    "flamingocleat_coordinator_vms",
-    "VMs of services with model groups, by what they are used for",
-    ["service", "use"],
-)
-_PLACES = prometheus_client.Gauge(
-    "flamingocleat_coordinator_places",
-    "Requests that open groups should have in hand",
-    ["service", "model"],
-)
-_PLACES_TAKEN = prometheus_client.Gauge(
-    "flamingocleat_coordinator_places_taken",
-    "Requests that open groups have in hand",
-    ["service", "model"],
-)
 _REVIEW_SECONDS = prometheus_client.Histogram(
     "flamingocleat_coordinator_review_seconds",
     "Time that one review of groups takes",
     buckets=(0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1),
 )
-_LOGGED_PHASES = (
-    group_module.Phase.FORMING,
-    group_module.Phase.OPENING,
-    group_module.Phase.OPEN,
-    group_module.Phase.CLOSING,
-)
-_LOGGED_USES = (
-    service_survey.VmUse.IDLE,
-    service_survey.VmUse.EMPTY,
-    service_survey.VmUse.BOUND,
-    service_survey.VmUse.LOST,
-)
 
 _EFFECTS = {
     platform_module.OrderOutcome.BEGUN: confirmations.Effect.BEGUN,
@@ -753,13 +722,9 @@
 
     def _update_metrics(self) -> None:
         _LEADS.set(1 if self.leadership.ready.is_set() else 0)
-        _GROUPS.set(
-            sum(len(manager.serving()) for manager in self.managers.values())
-        )
-        for service, manager in self.managers.items():
-            _update_manager_metrics(service, manager)
-            if self.leadership.ready.is_set() and self.settled:
-                _log_capacity(service, manager, self.demand)
+        capacity_metrics.update(self.managers)
+        if self.leadership.ready.is_set() and self.settled:
+            capacity_metrics.log_capacity(self.managers, self.demand)
 
 
 _HANDLERS: dict[type, collections.abc.Callable] = {
@@ -770,54 +735,6 @@
 }
 
 
-def _update_manager_metrics(
-    service: ids.ServiceId, manager: groups_module.GroupManager
-) -> None:
-    for use in service_survey.VmUse:
-        _VMS.labels(service, use.value).set(manager.vms_by_use[use])
-    if manager.engine is None:
-        return
-    capacity = {model.name: 0 for model in manager.engine.models}
-    in_flight = dict(capacity)
-    for group in manager.serving():
-        if group.model in capacity:
-            capacity[group.model] += manager.capacity(group)
-            in_flight[group.model] += manager.in_flight.get(group.head, 0)
-    for name, count in capacity.items():
-        _PLACES.labels(service, name).set(count)
-        _PLACES_TAKEN.labels(service, name).set(in_flight[name])
-
-
-def _log_capacity(
-    service: ids.ServiceId,
-    manager: groups_module.GroupManager,
-    demand: demand_module.DemandTotals,
-) -> None:
-    """Log the capacity of each model beside what callers ask of it."""
-    if manager.engine is None or not manager.has_traffic:
-        return
-    uses = {use.value: manager.vms_by_use[use] for use in _LOGGED_USES}
-    for model in manager.engine.models:
-        groups = [g for g in manager.groups.values() if g.model == model.name]
-        phases = collections.Counter(group.phase for group in groups)
-        serving = [g for g in groups if g.phase is group_module.Phase.OPEN]
-        requested, refused = demand.take(service, model.name)
-        logs.info(
-            _log,
-            "capacity",
-            service=service,
-            model=model.name,
-            **{phase.value: phases[phase] for phase in _LOGGED_PHASES},
-            slots=sum(map(manager.capacity, serving)),
-            in_flight=sum(manager.in_flight.get(g.head, 0) for g in serving),
-            requested=requested,
-            refused=refused,
-            short=model.name in manager.short_models,
-            held=manager.holders[model.name],
-            **uses,
-        )
-
-
 def log_memory_bytes(memory_mb: float) -> int:
     """Return how many bytes of log entries fit into a process's memory."""
     return round((memory_mb or DEFAULT_MEMORY_MB) * 1e6 * LOG_MEMORY_FRACTION)
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -17,6 +17,7 @@
 from flamingocleat.version import adoption as adoption_module
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import confirmations as confirmations_module
+from flamingocleat.version import conversion
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import formation
 from flamingocleat.version import group as group_module
@@ -50,14 +51,8 @@
 """How long a model must lack capacity before a group of another model is
 closed for it. That group finishes its requests first, which takes about as
 long."""
-MAX_REMAINING_LOAD = 0.6
-"""A model may lose a group, or has to leave VMs to one that lacks capacity, if
-its (remaining) groups use less than this fraction of their capacity."""
 MIN_PACE = 0.01
 """Lower bound of a model's pace; the configuration may contain zero."""
-MAX_DONORS = 3
-"""Maximum number of groups closed together for another model; each of them
-finishes its requests first."""
 FORMING_MARGIN_S = 6.0
 """Added to twice the load time before a formation is aborted."""
 
@@ -676,7 +671,7 @@
 
     def _ample_models(self, survey: service_survey.Survey) -> set[str]:
         """Return the models that use only part of their groups' capacity."""
-        loaded = survey.nearly_full(MAX_REMAINING_LOAD)
+        loaded = survey.nearly_full(conversion.MAX_REMAINING_LOAD)
         return {
             name
             for name in survey.capacity
@@ -796,11 +791,18 @@
         assert self.engine is not None
         if any(g.is_converting for g in self.groups.values()):
             return
+        inputs = conversion.Inputs(
+            serving=self.serving(),
+            known_members=self._known_members,
+            capacity=self.capacity,
+            in_flight=self.in_flight,
+            short_models=self.short_models,
+        )
         for model in self.engine.models:
             since_s = self.nearly_full_since_s.get(model.name, now_s)
             if now_s - since_s < CONVERT_AFTER_S:
                 continue
-            donors = self._find_donors(model, survey)
+            donors = conversion.find_donors(model, survey, inputs)
             for donor in donors:
                 donor.finish_work = donor.is_converting = True
                 donor.reason = f"its VMs are needed for {model.name}"
@@ -808,76 +810,6 @@
             if donors:
                 return
 
-    def _find_donors(
-        self, model: catalog_module.Model, survey: service_survey.Survey
-    ) -> list[Group]:
-        """Return the smallest set of groups to close for one of the model.
-
-        Several small groups of a domain can make up a large one, also together
-        with the members that a slow group of the model has in that domain.
-        Groups with the fewest requests are closed first. Returns an empty list
-        if no set suffices.
-        """
-        by_domain: dict[str, tuple[list[Group], list[Group]]] = {}
-        for group in self.serving():
-            domains = {
-                host.announcement.domain for host in self._known_members(group)
-            }
-            is_own = group.model == model.name
-            if (is_own and len(domains) == 1) or (
-                not is_own and group.model in self.short_models
-            ):
-                continue
-            for domain in domains:
-                found = by_domain.setdefault(domain, ([], []))
-                found[0 if is_own else 1].append(group)
-        choices = [
-            choice
-            for slow, others in by_domain.values()
-            for choice in self._donor_sets(slow, others)
-            if self._can_convert(choice, model, survey)
-        ]
-        return min(choices, key=len, default=[])
-
-    def _donor_sets(
-        self, slow: list[Group], others: list[Group]
-    ) -> collections.abc.Iterator[list[Group]]:
-        """Yield sets of a domain's groups that could be closed together.
-
-        Args:
-            slow: Groups that span domains, of the model that lacks capacity.
-            others: Groups of other models.
-        """
-        others.sort(key=lambda each: self.in_flight.get(each.head, 0))
-        for count in range(min(MAX_DONORS, len(others)) + 1):
-            if count:
-                yield others[:count]
-            if slow:
-                yield [slow[0], *others[:count]]
-
-    def _can_convert(
-        self,
-        chosen: list[Group],
-        model: catalog_module.Model,
-        survey: service_survey.Survey,
-    ) -> bool:
-        """Return whether the chosen groups can be converted to the model.
-
-        Their own models must keep enough capacity, and their VMs must make up
-        a group of the model.
-        """
-        for name in {group.model for group in chosen} - {model.name}:
-            given = sum(
-                self.capacity(group) for group in chosen if group.model == name
-            )
-            left = survey.capacity[name] - given
-            if survey.in_flight[name] >= MAX_REMAINING_LOAD * left:
-                return False
-        hosts = [
-            host for group in chosen for host in self._known_members(group)
-        ]
-        return formation.can_complete(model, hosts, survey.idle, flexible=True)
-
     # Weights.
 
     def _stage(
