--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -21,6 +21,7 @@
 from flamingocleat.request import admission
 from flamingocleat.request import budget as budget_module
 from flamingocleat.request import forward
+from flamingocleat.request import header_names as header_names_module
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog as catalog_module
 
@@ -51,7 +52,7 @@
         read_settings: collections.abc.Callable[
             [], settings_module.GatewaySettings
         ],
-        header_names: forward.HeaderNames,
+        header_names: header_names_module.HeaderNames,
         listener: socket.socket | None = None,
     ) -> None:
         self.listener = listener
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -23,7 +23,9 @@
 from flamingocleat.request import budget as budget_module
 from flamingocleat.request import continuation
 from flamingocleat.request import crash_guard
+from flamingocleat.request import direct_call
 from flamingocleat.request import events
+from flamingocleat.request import header_names as header_names_module
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog
 from flamingocleat.version import crashes
@@ -72,31 +74,6 @@
 )
 
 
-class HeaderNames(msgspec.Struct, frozen=True, kw_only=True):
-    """Header names used with callers and backend servers, in lower case."""
-
-    request_id: bytes = b"x-request-id"
-    deadline_ms: bytes = b"x-request-timeout-ms"
-    credential: bytes = b"x-api-key"
-    customer: bytes = b"flamingocleat-customer"
-    expected_backend: bytes = b"flamingocleat-backend"
-    not_run: bytes = b"flamingocleat-not-run"
-    """In an answer: the server states that it has not run the request."""
-    leaving: bytes = b"flamingocleat-leaving"
-    """In an answer: the server leaves, and wants no further requests."""
-    proof: bytes = b"flamingocleat-proof"
-    """In an answer: marks a success as the backend server's own."""
-    last_event_id: bytes = b"last-event-id"
-    model: bytes = b"flamingocleat-model"
-    token_counts: bytes = b"flamingocleat-tokens"
-    """Number of prompt tokens and maximum of answer tokens, separated by a
-    comma."""
-    prompt_parts: bytes = b"flamingocleat-prompt-parts"
-    """ID:TOKENS for each part of the prompt, separated by commas; the last
-    part is the request's own."""
-    urgency: bytes = b"flamingocleat-urgency"
-
-
 class Refusal(errors.FlamingocleatError):
     """Makes the gateway itself answer the request, with an error status."""
 
@@ -128,84 +105,11 @@
         """The server's own error response, if it sent one."""
 
 
-class Call:
-    """A caller's request that is being served."""
-
-    def __init__(
-        self,
-        exchange: http.Exchange,
-        route: catalog.Route,
-        customer: catalog.Customer | None,
-        service: catalog.Service,
-        header_names: HeaderNames,
-    ) -> None:
-        self.exchange = exchange
-        self.route = route
-        self.customer = customer
-        self.service = service
-        self.request_id = exchange.header(header_names.request_id)
-        self.deadline_s = exchange.arrived_s + min(
-            route.timeout_s, _caller_timeout_s(exchange, header_names)
-        )
-        self.last_event_id = exchange.header(header_names.last_event_id)
-        tokens = exchange.header(header_names.token_counts).partition(",")[0]
-        self.demand = admission_module.Demand(
-            service=service.name,
-            model=(
-                exchange.header(header_names.model)
-                if service.engine is not None
-                else ""
-            ),
-            priority=_priority(route, customer),
-            objective_s=route.objective_s,
-            deadline_s=self.deadline_s,
-            arrived_s=exchange.arrived_s,
-            prompt_tokens=_prompt_tokens(tokens, service),
-        )
-        self.parts = (
-            crash_guard.shared_parts(exchange.header(header_names.prompt_parts))
-            if service.engine is not None
-            else ()
-        )
-        """Parts of its prompt that other requests may share."""
-        self.sent = 0
-        """Number of times that the request was sent to a server."""
-        self.sent_to: set[ids.BackendId] = set()
-        self.may_have_run = False
-        self.backend = ids.BackendId("")
-        """The server that was chosen last."""
-        self.first_byte_s: float | None = None
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Whether the request may be sent again although it may have run."""
-        if self.route.kind is catalog.CallKind.STREAM:
-            return self.route.resumable
-        return self.route.kind is catalog.CallKind.IDEMPOTENT
-
-    @property
-    def can_retry(self) -> bool:
-        """Whether it may be retried elsewhere after the next attempt."""
-        return self.is_repeatable and self.sent + 1 < self.route.max_attempts
-
-    @property
-    def excluded(self) -> frozenset[ids.BackendId]:
-        """Servers that must not get the request once more.
-
-        A faulty server may repeat its refusal while it runs the request.
-        """
-        return frozenset() if self.is_repeatable else frozenset(self.sent_to)
-
-    def remaining_s(self) -> float:
-        """Return the time until the deadline."""
-        return self.deadline_s - time.monotonic()
-
-
 class Attempt:
     """One request to one server; listed in the candidate's `attempts`."""
 
     def __init__(
-        self, candidate: candidates_module.Candidate, call: Call
+        self, candidate: candidates_module.Candidate, call: direct_call.Call
     ) -> None:
         self.candidate = candidate
         self.request_id = call.request_id
@@ -239,7 +143,7 @@
 
     def __init__(
         self,
-        header_names: HeaderNames,
+        header_names: header_names_module.HeaderNames,
         admission: admission_module.Admission,
         budget: budget_module.Budget,
         seed: int | None = None,
@@ -258,7 +162,7 @@
         """Requests that wait for the first configuration."""
         self.stop_at_s = float("inf")
         """When the last answer must be sent, since the process stops."""
-        self.in_flight: dict[Call, asyncio.Timeout] = {}
+        self.in_flight: dict[direct_call.Call, asyncio.Timeout] = {}
         self.catalog_arrived = asyncio.Event()
 
     def limits(self) -> catalog.Limits:
@@ -310,7 +214,7 @@
         """
         wait_s = min(
             self.started_s + FIRST_VIEW_S - time.monotonic(),
-            _caller_timeout_s(exchange, self.header_names)
+            direct_call.caller_timeout_s(exchange, self.header_names)
             * MAX_RETRY_AFTER_FRACTION,
         )
         if wait_s <= 0 or self.held >= MAX_HELD:
@@ -324,7 +228,7 @@
         finally:
             self.held -= 1
 
-    def _parse(self, exchange: http.Exchange) -> Call:
+    def _parse(self, exchange: http.Exchange) -> direct_call.Call:
         if self.catalog_index is None:
             raise Refusal(
                 503,
@@ -340,7 +244,9 @@
         weights = [each.weight for each in route.targets]
         target_service = self.random.choices(route.targets, weights)[0].service
         service = self.catalog_index.services[target_service]
-        return Call(exchange, route, customer, service, self.header_names)
+        return direct_call.Call(
+            exchange, route, customer, service, self.header_names
+        )
 
     def _authenticate(
         self,
@@ -356,7 +262,7 @@
             raise Refusal(401, "the key is unknown" if key else "no key")
         return customer
 
-    async def _serve(self, call: Call) -> None:
+    async def _serve(self, call: direct_call.Call) -> None:
         tried: frozenset[ids.BackendId] = frozenset()
         connect_failures = 0
         stream = Stream(call, self)
@@ -375,7 +281,7 @@
 
     async def _try_once(
         self,
-        call: Call,
+        call: direct_call.Call,
         stream: "Stream",
         tried: frozenset[ids.BackendId],
         on_trial: tuple[ids.PromptPart, ...],
@@ -393,7 +299,9 @@
             self.admission.release(candidate, time.monotonic() - placed_s)
         return None
 
-    async def _admit(self, call: Call) -> tuple[ids.PromptPart, ...]:
+    async def _admit(
+        self, call: direct_call.Call
+    ) -> tuple[ids.PromptPart, ...]:
         """Wait until the call may be sent; return the parts that it tries."""
         try:
             return await self.guard.admit(call.parts, call.deadline_s)
@@ -403,7 +311,7 @@
 
     async def _place(
         self,
-        call: Call,
+        call: direct_call.Call,
         tried: frozenset[ids.BackendId],
         on_trial: tuple[ids.PromptPart, ...],
     ) -> candidates_module.Candidate:
@@ -427,7 +335,7 @@
 
     async def _attempt(
         self,
-        call: Call,
+        call: direct_call.Call,
         candidate: candidates_module.Candidate,
         stream: "Stream",
     ) -> None:
@@ -467,7 +375,7 @@
                 attempt.client.close()
 
     async def _has_ended(
-        self, call: Call, candidate: candidates_module.Candidate
+        self, call: direct_call.Call, candidate: candidates_module.Candidate
     ) -> bool:
         """Return whether a head has ended, which its prompts may have caused.
 
@@ -508,7 +416,7 @@
 
     def _headers(
         self,
-        call: Call,
+        call: direct_call.Call,
         candidate: candidates_module.Candidate,
         last_event_id: str,
     ) -> http.Headers:
@@ -542,7 +450,7 @@
         return headers
 
     async def _answer(
-        self, call: Call, attempt: Attempt, client: http.Client
+        self, call: direct_call.Call, attempt: Attempt, client: http.Client
     ) -> None:
         """Forward an answer that is not a stream."""
         limit_s = call.remaining_s()
@@ -579,7 +487,7 @@
             wait = answer.header(b"retry-after")
             notices.record_wait(candidate.lifetime, wait, now_s)
 
-    def check_answer(self, call: Call, answer: http.Answer) -> None:
+    def check_answer(self, call: direct_call.Call, answer: http.Answer) -> None:
         """Check that an answer is the backend server's, and to this call.
 
         Raises:
@@ -597,7 +505,7 @@
             raise AttemptError(Failure.UNKNOWN, "success without its mark")
 
     async def send_answer(
-        self, call: Call, answer: http.Answer, body: bytes
+        self, call: direct_call.Call, answer: http.Answer, body: bytes
     ) -> None:
         """Send a server's complete answer to the caller."""
         self.record_first_byte(call)
@@ -606,14 +514,14 @@
         )
         self.record_answer(call, answer.status, "answered")
 
-    def record_first_byte(self, call: Call) -> None:
+    def record_first_byte(self, call: direct_call.Call) -> None:
         """Record the time to the first byte, once per call."""
         if call.first_byte_s is None:
             call.first_byte_s = time.monotonic() - call.exchange.arrived_s
             _FIRST_BYTE.observe(call.first_byte_s)
 
     def _may_retry(
-        self, call: Call, error: AttemptError, connect_failures: int
+        self, call: direct_call.Call, error: AttemptError, connect_failures: int
     ) -> bool:
         if call.remaining_s() < MIN_REMAINING_S:
             return False
@@ -628,7 +536,7 @@
         _RETRIES.labels(reason=error.failure.value).inc()
         return True
 
-    async def _fail(self, call: Call, error: AttemptError) -> None:
+    async def _fail(self, call: direct_call.Call, error: AttemptError) -> None:
         """End a call that cannot be retried."""
         if call.exchange.started:
             # The answer is left unfinished, so that it does not look complete.
@@ -661,7 +569,9 @@
         if request_id:
             headers.append((self.header_names.request_id, request_id.encode()))
         if refusal.retry_after_s is not None:
-            caller_timeout_s = _caller_timeout_s(exchange, self.header_names)
+            caller_timeout_s = direct_call.caller_timeout_s(
+                exchange, self.header_names
+            )
             after_s = min(
                 refusal.retry_after_s,
                 caller_timeout_s * MAX_RETRY_AFTER_FRACTION,
@@ -669,7 +579,9 @@
             headers.append((b"retry-after", f"{after_s:.2f}".encode()))
         await exchange.respond(refusal.status, headers, f"{refusal}\n".encode())
 
-    async def _time_out(self, exchange: http.Exchange, call: Call) -> None:
+    async def _time_out(
+        self, exchange: http.Exchange, call: direct_call.Call
+    ) -> None:
         reason = f"no whole answer within {call.route.timeout_s} s"
         if time.monotonic() >= self.stop_at_s:
             reason = "no whole answer before this gateway stops"
@@ -693,7 +605,7 @@
 
     def _log_failure(
         self,
-        call: Call,
+        call: direct_call.Call,
         candidate: candidates_module.Candidate,
         error: AttemptError,
     ) -> None:
@@ -710,7 +622,9 @@
             reason=error,
         )
 
-    def record_answer(self, call: Call, status: int, outcome: str) -> None:
+    def record_answer(
+        self, call: direct_call.Call, status: int, outcome: str
+    ) -> None:
         """Log and count the end of a call.
 
         The status is 0 if the answer was left unfinished.
@@ -735,7 +649,7 @@
 class Stream:
     """A caller's event stream, which may come from several servers in turn."""
 
-    def __init__(self, call: Call, forwarder: Forwarder) -> None:
+    def __init__(self, call: direct_call.Call, forwarder: Forwarder) -> None:
         self.call = call
         self.forwarder = forwarder
         self.received = continuation.ReceivedEvents(call.last_event_id)
@@ -818,27 +732,3 @@
         for name, value in headers
         if name not in http.HOP_BY_HOP and name != b"content-length"
     ]
-
-
-def _caller_timeout_s(
-    exchange: http.Exchange, header_names: HeaderNames
-) -> float:
-    text = exchange.header(header_names.deadline_ms)
-    try:
-        value = float(text) / 1000
-    except ValueError:
-        return float("inf") if not text else 0.0
-    return value if value >= 0 else 0.0
-
-
-def _prompt_tokens(text: str, service: catalog.Service) -> int:
-    """Return the prompt's length as the caller gave it, or the usual one."""
-    if text.isdigit():
-        return int(text)
-    return round(service.engine.mean_prompt_tokens) if service.engine else 0
-
-
-def _priority(route: catalog.Route, customer: catalog.Customer | None) -> int:
-    if customer is not None and customer.priority is not None:
-        return customer.priority
-    return route.priority
--- a/tests/direct/support.py
+++ b/tests/direct/support.py
@@ -11,11 +11,12 @@
 from flamingocleat.request import admission
 from flamingocleat.request import budget
 from flamingocleat.request import forward
+from flamingocleat.request import header_names
 from flamingocleat.version import candidates
 from flamingocleat.version import catalog
 from tests.direct import vms
 
-HEADER_NAMES = forward.HeaderNames()
+HEADER_NAMES = header_names.HeaderNames()
 PROOF_HEADER = (b"flamingocleat-proof", b"seal")
 TIMEOUT_S = 10.0
 
--- a/tests/direct/test_departures.py
+++ b/tests/direct/test_departures.py
@@ -11,7 +11,7 @@
 from flamingocleat.connection import feed
 from flamingocleat.process import gateway
 from flamingocleat.process import settings
-from flamingocleat.request import forward
+from flamingocleat.request import header_names
 from flamingocleat.version import declared
 from flamingocleat.version import fleet
 from tests.direct import coordinators
@@ -155,7 +155,7 @@
                 health_listen="127.0.0.1:0",
                 control=(),
             ),
-            forward.HeaderNames(),
+            header_names.HeaderNames(),
         )
         listed = tuple(
             messages.ServedBackend(f"b-{n}", f"10.0.0.{n}:80", "desk", "a", 4)
