Close listening sockets after connections that were accepted are set up

Cause: asyncio accepts a connection in one step of its loop and sets it up in the next. A server that is closed in between makes that step fail, and the socket stays open until it is collected.

--- a/src/flamingocleat/connection/channel.py
+++ b/src/flamingocleat/connection/channel.py
@@ -1,5 +1,6 @@
 """gRPC channels and servers that handle closed connections cleanly."""
 
+import asyncio
 import collections.abc
 import contextlib
 import typing
@@ -11,6 +12,7 @@
 import grpclib.server
 
 from flamingocleat.connection import codec
+from flamingocleat.connection import listener
 
 
 @contextlib.contextmanager
@@ -68,6 +70,28 @@
         return typing.cast(_Stream, stream)
 
 
+class _Protocol(grpclib.protocol.H2Protocol):
+    """Connection that ends at once if its server is closed already.
+
+    The event loop sets up a connection after it has accepted it, and the
+    server may be closed in between.
+    """
+
+    def __init__(self, server: "Server", handler: typing.Any) -> None:
+        super().__init__(handler, server._config, server._h2_config)
+        self.server = server
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        if self.server.closed:
+            self.end()
+
+    def end(self) -> None:
+        """End the connection, if it has been set up."""
+        if hasattr(self, "processor"):
+            self.processor.close("server is closed")
+
+
 class Server(grpclib.server.Server):
     """Server that ends its connections when it is closed.
 
@@ -77,20 +101,24 @@
 
     def __init__(self, services: list[codec.Service]) -> None:
         super().__init__(services, codec=codec.Codec())
-        self.protocols: weakref.WeakSet[grpclib.protocol.H2Protocol] = (
-            weakref.WeakSet()
-        )
+        self.protocols: weakref.WeakSet[_Protocol] = weakref.WeakSet()
+        self.closed = False
 
     def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
-        protocol = super()._protocol_factory()
+        protocol = _Protocol(self, super()._protocol_factory().handler)
         self.protocols.add(protocol)
         return protocol
 
     def close(self) -> None:
-        """Stop listening, cancel calls and end all connections."""
-        super().close()
+        """Stop listening, cancel calls and end all connections.
+
+        The listening socket is closed in the next step of the event loop.
+        """
+        self.closed = True
+        if isinstance(self._server, asyncio.Server):
+            listener.close_soon(self._server, super().close)
         for protocol in list(self.protocols):
-            protocol.processor.close("server is closed")
+            protocol.end()
 
 
 def dial(address: str) -> Channel:
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -225,6 +225,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.consensus.stop()
         self.server.close()
+        await asyncio.sleep(0)  # Another coordinator may listen at the port.
         self.storage.close()
         logs.info(_log, "coordinator_stopped", voter=self.storage.voter)
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,6 +1,7 @@
 """Tests of channels whose connection closes during a call."""
 
 import asyncio
+import gc
 import types
 
 import grpclib.server
@@ -137,3 +138,33 @@
         )
 
     assert asyncio.run(scenario()) >= 3
+
+
+def test_connection_that_is_accepted_as_its_server_closes_is_ended():
+    """Guards against a transport that nobody closes after a voter stopped.
+
+    The server is closed in the step of the event loop that accepts the
+    connection; the connection is set up in the next step.
+    """
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        server = channel.Server([])
+        accept = loop._accept_connection
+
+        def accept_and_close(*args):
+            accept(*args)
+            server.close()
+
+        loop._accept_connection = accept_and_close
+        await server.start("127.0.0.1", 0)
+        address = server._server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        async with asyncio.timeout(10):
+            while await reader.read(1024):
+                pass
+        writer.close()
+        await writer.wait_closed()
+
+    asyncio.run(run())
+    gc.collect()
