Evacuate a data centre by an operator's call

Cause: no call kept requests away from a data centre before work on it.

Each view names all of them, and a gateway leaves their servers out of every selection before it applies the list of the same view. The first view of a stream waits until a quorum has confirmed the leader, so that a deposed one does not tell a new gateway its outdated state. The planner uses no VM there, counts no capacity, closes groups that span data centres and keeps those entirely inside open but unlisted.

--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -73,6 +73,14 @@
     voters: tuple[str, ...] = ()
     withdrawn: tuple[ids.BackendId, ...] = ()
     """Servers that drain or have left, until the state is settled."""
+    evacuated: tuple[messages.EvacuatedDataCentre, ...] = ()
+
+    @property
+    def evacuation_key(self) -> tuple[tuple[ids.DataCentreId, bool], ...]:
+        """What of the evacuations a gateway must learn of at once."""
+        return tuple(
+            (each.data_centre, each.hand_over_ms > 0) for each in self.evacuated
+        )
 
 
 _BackendMap = dict[ids.BackendId, messages.ServedBackend]
@@ -104,6 +112,7 @@
         self.assigned_key: tuple[_BackendIndex, int] | None = None
         self.sent_settled = False
         self.sent_withdrawn: tuple[ids.BackendId, ...] = ()
+        self.sent_evacuations: tuple[tuple[ids.DataCentreId, bool], ...] = ()
         self.sent_crashes = 0
         """Version of the evidence on ends of heads that was last sent."""
         self.sent_s = float("-inf")
@@ -249,12 +258,19 @@
         served = self._assigned(subscription, state)
         difference = _difference(subscription.sent, served)
         has_changes = bool(difference) or (
-            (version, state.settled, self.crashes.version, state.withdrawn)
+            (
+                version,
+                state.settled,
+                self.crashes.version,
+                state.withdrawn,
+                state.evacuation_key,
+            )
             != (
                 subscription.sent_version,
                 subscription.sent_settled,
                 subscription.sent_crashes,
                 subscription.sent_withdrawn,
+                subscription.sent_evacuations,
             )
         )
         due_s = subscription.sent_s + interval_s(len(self.subscriptions))
@@ -270,6 +286,7 @@
         subscription.sent_version = version
         subscription.sent_settled = state.settled
         subscription.sent_withdrawn = state.withdrawn
+        subscription.sent_evacuations = state.evacuation_key
         subscription.sent_s = now_s
         if served is not None:
             subscription.sent = served
@@ -285,6 +302,7 @@
             reads_packed=True,
             crashes=crashes,
             withdrawn=state.withdrawn,
+            evacuated=state.evacuated,
         )
 
     def _pack(self, view: messages.GatewayView) -> messages.GatewayView:
--- a/src/flamingocleat/connection/platform.py
+++ b/src/flamingocleat/connection/platform.py
@@ -44,7 +44,14 @@
     """A request to read the configuration."""
 
 
-ControlCall = Announce | Leave | PutDocument | GetDocument
+class SetEvacuation(msgspec.Struct, frozen=True):
+    """An operator's request to evacuate a data centre or to reinstate it."""
+
+    data_centre: ids.DataCentreId
+    evacuated: bool
+
+
+ControlCall = Announce | Leave | PutDocument | GetDocument | SetEvacuation
 
 
 class OrderOutcome(enum.Enum):
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -507,6 +507,15 @@
     unread_tokens: int
 
 
+class EvacuatedDataCentre(Message, frozen=True):
+    """A data centre whose servers get no requests."""
+
+    data_centre: ids.DataCentreId
+    hand_over_ms: int = 0
+    """Remaining time for which heads there that are still listed may get the
+    requests that no other server has room for."""
+
+
 class GatewayView(Message, frozen=True):
     """Fleet state sent to a gateway; unchanged parts are omitted."""
 
@@ -536,6 +545,8 @@
     withdrawn: tuple[ids.BackendId, ...] = ()
     """Servers that drain or have left, until the view is settled: the gateway
     may know them from another leader."""
+    evacuated: tuple[EvacuatedDataCentre, ...] = ()
+    """All evacuated data centres, also before the view is settled."""
 
 
 class ViewBody(Message, frozen=True):
--- a/src/flamingocleat/process/capacity_metrics.py
+++ b/src/flamingocleat/process/capacity_metrics.py
@@ -92,7 +92,7 @@
     for model in manager.engine.models:
         groups = [g for g in manager.groups.values() if g.model == model.name]
         phases = collections.Counter(group.phase for group in groups)
-        serving = [g for g in groups if g.phase is group_module.Phase.OPEN]
+        serving = [g for g in manager.serving() if g.model == model.name]
         requested, refused = demand.take(service, model.name)
         logs.info(
             _log,
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -23,6 +23,7 @@
 from flamingocleat.connection import platform as platform_module
 from flamingocleat.process import capacity_metrics
 from flamingocleat.process import consensus as consensus_module
+from flamingocleat.process import evacuations
 from flamingocleat.process import gateway
 from flamingocleat.process import leadership as leadership_module
 from flamingocleat.process import logs
@@ -154,7 +155,9 @@
             self.consensus, self._on_ready, self._on_leadership_lost
         )
         self.publisher = feed.Publisher(
-            self.leadership.admit, self._fleet_state, self._on_gateway_report
+            self.leadership.admit_confirmed,
+            self._fleet_state,
+            self._on_gateway_report,
         )
         self.fleet = fleet_module.Fleet()
         self.fleet.subscribe(self._on_fleet_change)
@@ -165,6 +168,14 @@
         self.catalog: catalog_module.Catalog | None = None
         self.ready_since_s = float("inf")
         self.review_due = asyncio.Event()
+        self.evacuations = evacuations.Evacuations(
+            lambda: self.settings, self.machine, self.consensus
+        )
+        self.evacuations.listeners += [
+            self._update_served_backends,
+            self.publisher.notify,
+            self.review_due.set,
+        ]
         self.timer = timer_module.Timer()
         self.server = channel.Server(
             [
@@ -290,6 +301,7 @@
                     self.fleet,
                     self.consensus.term,
                 )
+                manager.evacuation.data_centres = self.machine.evacuations
                 self.managers[service.name] = manager
             manager.engine = service.engine.bounded()
 
@@ -382,6 +394,7 @@
         now_s = time.monotonic()
         for manager in self.managers.values():
             manager.adopt_early(now_s)
+        self.evacuations.review(self.managers)
         self._read_states(now_s)
         self._update_served_backends()
         return []
@@ -398,6 +411,7 @@
         for manager in self.managers.values():
             manager.in_flight = in_flight
             orders += [(manager, order) for order in manager.step(now_s)]
+        self.evacuations.review(self.managers)
         self._read_states(now_s)
         self._update_served_backends()
         _REVIEW_SECONDS.observe(time.monotonic() - now_s)
@@ -520,6 +534,7 @@
                 sorted(self.consensus.membership.addresses().values())
             ),
             withdrawn=() if self.settled else self.fleet.withdrawn(),
+            evacuated=self.evacuations.as_message(),
         )
 
     def _update_served_backends(self) -> None:
@@ -537,9 +552,11 @@
             if backend.announcement.service not in self.managers
             and backend.announcement.state is fleet_module.BackendState.READY
             and now_s - backend.announced_s < PLAIN_BACKEND_TIMEOUT_S
+            and backend.announcement.data_centre not in self.machine.evacuations
         ]
         for manager in self.managers.values():
-            for group in manager.serving():
+            handed_over = self.evacuations.groups_handed_over(manager)
+            for group in (*manager.serving(), *handed_over):
                 head = self.fleet.backends.get(group.head)
                 if head is not None:
                     served.append(
@@ -720,6 +737,9 @@
             [(b"content-type", b"application/json")],
         )
 
+    async def _evacuate(self, call: platform_module.SetEvacuation) -> None:
+        raise Reply(*await self.evacuations.handle(call))
+
     def _update_metrics(self) -> None:
         _LEADS.set(1 if self.leadership.ready.is_set() else 0)
         capacity_metrics.update(self.managers)
@@ -732,6 +752,7 @@
     platform_module.Leave: Coordinator._handle_leave,
     platform_module.PutDocument: Coordinator._handle_put,
     platform_module.GetDocument: Coordinator._handle_get,
+    platform_module.SetEvacuation: Coordinator._evacuate,
 }
 
 
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -27,6 +27,11 @@
 
 _log = logs.logger("gateway")
 
+_EVACUATED = prometheus_client.Gauge(
+    "flamingocleat_gateway_evacuated_data_centres",
+    "Evacuated data centres, whose servers get no requests",
+)
+
 SILENCE_CHECK_S = 0.05
 """Interval of the check for silent heads; 200 ms of silence is too long."""
 PROBE_INTERVAL_S = 0.5
@@ -164,9 +169,14 @@
         self.budget.gateways = view.gateways
         if view.catalog is not None:
             self._apply_catalog(view.catalog)
+        # Before the list, whose servers get waiting requests at once.
+        self._apply_evacuated(view.evacuated)
         if self.served.apply(view) and (view.settled or not self.has_settled):
             backends_in_view = self.served.backends.values()
-            self.has_backends = bool(backends_in_view)
+            # With everything evacuated, callers are refused with a wait.
+            self.has_backends = bool(backends_in_view) or (
+                view.settled and bool(view.evacuated)
+            )
             self.has_settled = self.has_settled or view.settled
             self.candidates.update(backends_in_view)
             logs.info(
@@ -185,6 +195,20 @@
         self.candidates.discard(view.withdrawn)
         self.candidates.update_load(view.load)
 
+    def _apply_evacuated(
+        self, evacuated: tuple[messages.EvacuatedDataCentre, ...]
+    ) -> None:
+        before = set(self.candidates.evacuated)
+        self.candidates.set_evacuated(evacuated)
+        if before != set(self.candidates.evacuated):
+            _EVACUATED.set(len(evacuated))
+            logs.info(
+                _log,
+                "evacuations_applied",
+                data_centres=",".join(each.data_centre for each in evacuated),
+                hand_over_ms=",".join(str(e.hand_over_ms) for e in evacuated),
+            )
+
     def _apply_catalog(self, catalog: catalog_module.Catalog) -> None:
         known = self.forwarder.catalog_index
         if known is not None and known.catalog.version > catalog.version:
--- a/src/flamingocleat/process/leadership.py
+++ b/src/flamingocleat/process/leadership.py
@@ -71,6 +71,20 @@
         if not self.ready.is_set():
             raise errors.NotLeaderError(self.leader_hint())
 
+    async def admit_confirmed(self) -> None:
+        """Wait until a quorum confirms that this voter leads now.
+
+        Its machine then has everything that was acknowledged before the call.
+        A leader that was deposed while its process was paused does not know it
+        at once, and would pass `admit`.
+
+        Raises:
+            NotLeaderError: This voter is not the leader.
+            UnavailableError: This voter is shutting down.
+        """
+        await self.admit()
+        await self.consensus.confirm()
+
     def leader_hint(self) -> str:
         """Return the leader's address, or an empty string.
 
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -149,6 +149,12 @@
     """Interval between announcements of a backend server."""
     stall_s: float = 4.0
     """Time until a head that lost a member reports its group as broken."""
+    data_centres: tuple[ids.DataCentreId, ...] = ()
+    """Data centres that operators may evacuate; empty if they are not known,
+    so that any name is accepted."""
+    evacuate_s: float = 5.0
+    """Time after the acknowledgement of an evacuation from which no request may
+    reach the data centre."""
     spares: int = 1
     """Number of VMs of each fabric domain that are kept out of groups."""
     grace_s: float = 8.0
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -392,6 +392,9 @@
         available = [
             e for e in available if not e.is_avoided(now_s)
         ] or available
+        available = [
+            e for e in available if not self.candidates.is_handing_over(e)
+        ] or available
         return min(
             available, key=lambda each: self._cost(each, demand), default=None
         )
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -201,6 +201,9 @@
         self.clock = clock
         self.by_backend: dict[ids.BackendId, Candidate] = {}
         self.notices = notices_module.Notices()
+        self.evacuated: dict[ids.DataCentreId, float] = {}
+        """Until when heads in each evacuated data centre may be used for
+        requests that no other server has room for."""
         self.listeners: list[collections.abc.Callable[[], None]] = []
         self.checked_s = float("inf")
         self.unpaused_since_s = float("-inf")
@@ -230,6 +233,38 @@
         for backend in backends:
             self.by_backend.pop(backend, None)
 
+    def set_evacuated(
+        self, evacuated: collections.abc.Iterable[messages.EvacuatedDataCentre]
+    ) -> None:
+        """Set all data centres whose servers must not be selected.
+
+        Attempts there continue. A hand-over is never prolonged, since a view
+        may arrive late. A gateway without servers takes part in none: it has
+        sent nothing there that would have to move.
+        """
+        now_s = self.clock()
+        known, self.evacuated = self.evacuated, {}
+        for each in evacuated:
+            until_s = float("-inf")
+            if self.by_backend:
+                until_s = now_s + each.hand_over_ms / 1000
+            self.evacuated[each.data_centre] = min(
+                until_s, known.get(each.data_centre, until_s)
+            )
+        if known.keys() - self.evacuated.keys():
+            self.notify()
+
+    def is_handing_over(self, candidate: Candidate) -> bool:
+        """Return whether a candidate's data centre is evacuated.
+
+        Those that `find` returns may be used if no other has room.
+        """
+        return candidate.view.data_centre in self.evacuated
+
+    def _is_excluded(self, view: messages.ServedBackend, now_s: float) -> bool:
+        until_s = self.evacuated.get(view.data_centre)
+        return until_s is not None and (not view.model or now_s >= until_s)
+
     def update_load(
         self, load: collections.abc.Iterable[messages.OtherGatewaysLoad]
     ) -> None:
@@ -242,11 +277,17 @@
         self.notify()
 
     def find(self, service: ids.ServiceId, model: str) -> list[Candidate]:
-        """Return a service's servers, or the heads of a model's groups."""
+        """Return a service's servers, or the heads of a model's groups.
+
+        Those in evacuated data centres are left out.
+        """
+        now_s = self.clock()
         return [
             each
             for each in self.by_backend.values()
-            if each.view.service == service and each.view.model == model
+            if each.view.service == service
+            and each.view.model == model
+            and not self._is_excluded(each.view, now_s)
         ]
 
     def check_silence(self) -> list[Candidate]:
--- a/src/flamingocleat/version/declared.py
+++ b/src/flamingocleat/version/declared.py
@@ -3,7 +3,7 @@
 It holds the document with the highest version. Unlike `machine`, which uses
 compare-and-set, it replaces any document with one of a higher version. It also
 holds the withdrawals of backend servers for a time, so that a new leader knows
-which announcements are outdated.
+which announcements are outdated, and the data centres that are evacuated.
 """
 
 import typing
@@ -26,16 +26,26 @@
     stored_ms: int
 
 
-class PutDocument(msgspec.Struct, frozen=True, tag="put"):
+class EvacuationOrder(msgspec.Struct, frozen=True):
+    """An operator's order to evacuate a data centre or to reinstate it."""
+
+    data_centre: ids.DataCentreId
+    evacuated: bool
+    ordered_ms: int
+    """When the leader received it, as Unix time in milliseconds."""
+
+
+class PutDocument(msgspec.Struct, frozen=True, tag="put", omit_defaults=True):
     """Stores a document if its version is higher than the stored one.
 
-    With a withdrawal it has no document: a voter of an earlier build, which
-    does not know withdrawals, then changes nothing.
+    With a withdrawal or an evacuation order it has no document: a voter of an
+    earlier build, which does not know these, then changes nothing.
     """
 
     version: int
     document: bytes
     withdrawal: StoredWithdrawal | None = None
+    evacuation: EvacuationOrder | None = None
 
 
 class ChangeVoters(msgspec.Struct, frozen=True, tag="voters"):
@@ -50,11 +60,12 @@
 _decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
 
 
-class _State(msgspec.Struct, frozen=True):
+class _State(msgspec.Struct, frozen=True, omit_defaults=True):
     version: int
     document: bytes
     voters: dict[ids.VoterId, str]
     withdrawals: tuple[StoredWithdrawal, ...] = ()
+    evacuations: dict[ids.DataCentreId, int] = {}
 
 
 class Machine:
@@ -66,6 +77,10 @@
         self.document = b""
         self.withdrawals: dict[ids.BackendId, StoredWithdrawal] = {}
         """In the order in which they were stored."""
+        self.evacuations: dict[ids.DataCentreId, int] = {}
+        """When each data centre that is evacuated was ordered to be, as Unix
+        time in milliseconds. Always the same object, so that others can keep
+        it."""
         self.voters: dict[ids.VoterId, str] = {}
 
     def encode(self, command: Command) -> bytes:
@@ -81,9 +96,15 @@
         return _decoder.decode(data)
 
     def apply(self, index: int, command: Command) -> bool:
-        """Apply a command; return whether it changed the document."""
+        """Apply a command.
+
+        Returns:
+            Whether it changed the document, or the evacuated data centres.
+        """
         if isinstance(command, ChangeVoters):
             return False
+        if command.evacuation is not None:
+            return self._apply_evacuation(command.evacuation)
         if command.withdrawal is not None:
             self._store_withdrawal(command.withdrawal)
         if command.version <= self.version:
@@ -112,6 +133,19 @@
         ][-MAX_WITHDRAWALS:]
         self.withdrawals = {each.withdrawal.backend: each for each in kept}
 
+    def _apply_evacuation(self, order: EvacuationOrder) -> bool:
+        """Apply an order; return whether it changed anything.
+
+        A repeated order keeps the time of the first one.
+        """
+        if order.evacuated == (order.data_centre in self.evacuations):
+            return False
+        if order.evacuated:
+            self.evacuations[order.data_centre] = order.ordered_ms
+        else:
+            del self.evacuations[order.data_centre]
+        return True
+
     def voters_after(
         self, command: typing.Any
     ) -> dict[ids.VoterId, str] | None:
@@ -128,6 +162,7 @@
                 self.document,
                 self.voters,
                 tuple(self.withdrawals.values()),
+                self.evacuations,
             )
         )
 
@@ -140,3 +175,5 @@
         self.withdrawals = {
             each.withdrawal.backend: each for each in state.withdrawals
         }
+        self.evacuations.clear()
+        self.evacuations.update(state.evacuations)
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -18,6 +18,7 @@
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import confirmations as confirmations_module
 from flamingocleat.version import conversion
+from flamingocleat.version import evacuations
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import formation
 from flamingocleat.version import group as group_module
@@ -87,6 +88,7 @@
         self.counter = 0
         self.engine: catalog_module.Engine | None = None
         self.groups: dict[str, Group] = {}
+        self.evacuation = evacuations.GroupRules(fleet)
         self.adoption = adoption_module.Adoption(term)
         self.confirmations = confirmations_module.Confirmations(
             self.adoption.is_from_this_term
@@ -117,9 +119,7 @@
 
     def serving(self) -> list[Group]:
         """Return the groups that accept requests."""
-        return [
-            group for group in self.groups.values() if group.phase is Phase.OPEN
-        ]
+        return self.evacuation.serving(self.groups.values())
 
     def capacity(self, group: Group) -> int:
         """Return how many concurrent requests a group should have."""
@@ -201,7 +201,8 @@
         self.adopt(now_s)
         orders: list[Order] = []
         for group in list(self.groups.values()):
-            orders.extend(_STEPS[group.phase](self, group, now_s))
+            if not self._abandon_evacuated(group, now_s):
+                orders.extend(_STEPS[group.phase](self, group, now_s))
         survey = self.survey(now_s)
         self.unread = survey.unread
         self.vms_by_use = survey.count_by_use()
@@ -335,6 +336,17 @@
 
     # Phase handlers.
 
+    def _abandon_evacuated(self, group: Group, now_s: float) -> bool:
+        """Apply the evacuation rules; return whether the group was removed."""
+        action = self.evacuation.action(group)
+        reason = "a data centre of its members is evacuated"
+        if action is evacuations.Action.ABANDON:
+            self._remove_group(group, reason, now_s)
+        elif action is evacuations.Action.CLOSE:
+            group.finish_work, group.reason = True, reason
+            self._set_phase(group, Phase.CLOSING, now_s)
+        return action is evacuations.Action.ABANDON
+
     def _step_warming(self, group: Group, now_s: float) -> list[Order]:
         backend = self.fleet.backends.get(group.head)
         model = self._find_model(group.model)
@@ -614,6 +626,7 @@
             self.confirmations,
             self.capacity,
             self.in_flight,
+            self.evacuation,
         )
 
     def _form(self, survey: service_survey.Survey, now_s: float) -> list[Order]:
@@ -667,6 +680,7 @@
             for name, since_s in self.nearly_full_since_s.items()
             if now_s - since_s >= formation.SHORT_AFTER_S
             or not survey.group_counts[name]
+            or name in survey.moving_models
         }
 
     def _ample_models(self, survey: service_survey.Survey) -> set[str]:
--- a/src/flamingocleat/version/service_survey.py
+++ b/src/flamingocleat/version/service_survey.py
@@ -12,6 +12,7 @@
 from flamingocleat.version import adoption as adoption_module
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import confirmations as confirmations_module
+from flamingocleat.version import evacuations
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import formation
 from flamingocleat.version import group as group_module
@@ -31,6 +32,8 @@
     because its state is not confirmed."""
     LOST = "lost"
     """Silent, unreachable or leaving."""
+    EVACUATED = "evacuated"
+    """In an evacuated data centre, in a group or not."""
 
 
 class Survey:
@@ -46,9 +49,13 @@
         confirmations: confirmations_module.Confirmations,
         capacity: collections.abc.Callable[[group_module.Group], int],
         in_flight: collections.abc.Mapping[ids.BackendId, int],
+        evacuation: evacuations.GroupRules,
     ) -> None:
         self.engine = engine
-        self.usable = [each for each in backends if usable(each)]
+        staying = [each for each in backends if not evacuation.includes(each)]
+        self.evacuated = len(backends) - len(staying)
+        """Number of VMs in evacuated data centres; none is usable."""
+        self.usable = [each for each in staying if usable(each)]
         self.domains = collections.Counter(
             each.announcement.domain for each in self.usable
         )
@@ -57,6 +64,7 @@
             group
             for group in groups
             if group.phase in group_module.ACTIVE_PHASES
+            and evacuation.is_outside(group)
         ]
         self.group_counts: collections.Counter[str] = collections.Counter(
             group.model for group in self.active_groups
@@ -69,6 +77,11 @@
         for group in self.active_groups:
             self.capacity[group.model] += capacity(group)
             self.in_flight[group.model] += in_flight.get(group.head, 0)
+        self.moving_models: set[str] = set()
+        """Models whose requests have to move out of evacuated data centres."""
+        for group, _ in evacuation.standby(groups):
+            self.in_flight[group.model] += in_flight.get(group.head, 0)
+            self.moving_models.add(group.model)
         taken = {member for group in groups for member in group.members}
         ungrouped = [
             e for e in self.usable if e.announcement.backend not in taken
@@ -115,7 +128,8 @@
                 VmUse.IDLE: held,
                 VmUse.EMPTY: free - held,
                 VmUse.BOUND: self.ungrouped - free,
-                VmUse.LOST: self.total - len(self.usable),
+                VmUse.LOST: self.total - len(self.usable) - self.evacuated,
+                VmUse.EVACUATED: self.evacuated,
             }
         )
 
--- a/tests/direct/coordinators.py
+++ b/tests/direct/coordinators.py
@@ -20,6 +20,8 @@
 DOCUMENT = "/document"
 ANNOUNCE = "/announce"
 LEAVE = "/leave/"
+EVACUATE = "/evacuate/"
+REINSTATE = "/reinstate/"
 
 
 class PlainPlatform:
@@ -36,6 +38,10 @@
             return platform.Announce(announcement)
         if target.startswith(LEAVE):
             return platform.Leave(target.removeprefix(LEAVE), None)
+        for prefix in (EVACUATE, REINSTATE):
+            if target.startswith(prefix):
+                data_centre = target.removeprefix(prefix)
+                return platform.SetEvacuation(data_centre, prefix == EVACUATE)
         return platform.PutDocument(self.decode_catalog(body), body)
 
     def decode_catalog(self, document):
@@ -61,6 +67,7 @@
         self.http_port = local.free_port()
         self.running: dict[int, coordinator.Coordinator] = {}
         self.seeds = tuple(self.address(n) for n in (1, 2, 3))
+        self.data_centres: tuple[str, ...] = ()
 
     def address(self, number: int) -> str:
         return f"127.0.0.{number}:{self.grpc_port}"
@@ -74,6 +81,7 @@
             data_folder=str(self.tmp_path / str(number)),
             bootstrap=bootstrap,
             seeds=self.seeds,
+            data_centres=self.data_centres,
         )
 
     async def start(self, number: int, *, bootstrap: bool) -> None:
@@ -103,6 +111,19 @@
         """Deliver a server's departure and wait for its acknowledgement."""
         await self._request("POST", LEAVE + backend, b"")
 
+    async def evacuate(self, data_centre: ids.DataCentreId) -> None:
+        """Evacuate a data centre and wait for the acknowledgement."""
+        await self._request("POST", EVACUATE + data_centre, b"")
+
+    async def reinstate(self, data_centre: ids.DataCentreId) -> None:
+        """Reinstate a data centre and wait for the acknowledgement."""
+        await self._request("POST", REINSTATE + data_centre, b"")
+
+    async def call(self, number: int, path: str) -> tuple[http.Answer, bytes]:
+        """Call one coordinator once and return its answer."""
+        address = f"127.0.0.{number}:{self.http_port}"
+        return await http.request(address, "POST", path, b"", timeout_s=5)
+
     async def leader(self) -> coordinator.Coordinator:
         """Return the leader, waiting until there is one."""
         async with asyncio.timeout(TIMEOUT_S):
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -50,6 +50,7 @@
         self.backend = f"vm-{number}"
         self.address = f"{self.backend}:80"
         self.domain = domain
+        self.data_centre = "a"
         self.alive = True
         self.staged: tuple[str, ...] = ()
         self.model = ""
@@ -229,7 +230,7 @@
             sequence=vm.sequence,
             service="llm",
             address=vm.address,
-            data_centre="a",
+            data_centre=vm.data_centre,
             state=(
                 fleet_module.BackendState.DRAINING
                 if vm.draining
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -81,6 +81,12 @@
     assert settings.data_folder == "/data/x"
     assert settings.announce_interval_s == 1.2
     assert settings.stall_s == 4.0
+    assert (settings.data_centres, settings.evacuate_s) == ((), 5.0)
+    document["zones"] = {"a": "east", "b": "east"}
+    document["bounds"] = {"evacuateMs": 4000}
+    decoded = msgspec.json.decode(json.dumps(document), type=boot.BootSettings)
+    settings = boot.coordinator_settings(decoded)
+    assert (settings.data_centres, settings.evacuate_s) == (("a", "b"), 4.0)
 
 
 def test_unreadable_settings_are_an_error():
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -350,3 +350,27 @@
     assert asyncio.run(run()) == expected
     assert heads[0].startswith(b"GET /api/report ")
     assert b"x-expect-instance: i-1" in heads[0].lower()
+
+
+@pytest.mark.parametrize(
+    ("target", "expected"),
+    [
+        ("Start/a", platform.SetEvacuation("a", True)),
+        ("Finish/a?x=1", platform.SetEvacuation("a", False)),
+        ("Start/b%20c", platform.SetEvacuation("b c", True)),
+    ],
+)
+def test_evacuations_are_translated(target, expected):
+    """An operator's call must concern the data centre that it names."""
+    path = "/api/Evacuations." + target
+    adapter = wire.PlatformAdapter()
+    assert adapter.decode_call("POST", path, b"") == expected
+    assert adapter.decode_call("GET", path, b"") is None
+
+
+@pytest.mark.parametrize("name", ["", "%ff", "a" * 200])
+def test_odd_evacuations_are_unreadable(name):
+    """They must be refused, and not be stored in the log."""
+    for path in (wire.EVACUATE_PATH, wire.REINSTATE_PATH):
+        with pytest.raises(platform.UnreadableError):
+            wire.PlatformAdapter().decode_call("POST", path + name, b"")
