Evacuate data centres in the soak

Change: engines of the emulator are in two data centres. A fault evacuates one and reinstates it, and checks that gateways in contact send nothing there later than the bound, and that operators are answered.

--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -31,6 +31,8 @@
 LETHAL_PART = "dead"
 """Part of a prompt that crashes each engine that begins to write on it."""
 RESTART_S = 1.0
+DATA_CENTRES = ("z0", "z1")
+"""The domains d0 and d1 are in these."""
 
 
 def event(request_id: str, number: int) -> bytes:
@@ -82,6 +84,8 @@
         self.lethal_arrivals_s: list[float] = []
         """When requests with the lethal part reached engines."""
         self.lethal_crashes_s: list[float] = []
+        self.calls: list[tuple[float, str, str]] = []
+        """Time, data centre and id of each call that reached a server."""
 
     def record_violation(self, guarantee: str, detail: str) -> None:
         """Record the violation of a guarantee."""
@@ -128,6 +132,7 @@
         self.fleet = fleet
         self.service = service
         self.domain = domain
+        self.data_centre = f"z{domain.removeprefix('d')}"
         self.address = address
         """The address at which it listens."""
         self.announced = address
@@ -235,7 +240,7 @@
         body = {
             "service": self.service,
             "address": self.announced,
-            "zone": "z",
+            "zone": self.data_centre,
             "version": "v1",
             "slots": 8,
             "state": "ready",
@@ -304,7 +309,15 @@
             self.spawn(self.announce())
         elif exchange.target == b"/api/report":
             await exchange.respond(200, [], json.dumps(self._report()).encode())
-        elif self.service == "llm":
+        else:
+            await self._answer_call(exchange)
+
+    async def _answer_call(self, exchange: http.Exchange) -> None:
+        request_id = exchange.header(b"x-request-id")
+        self.fleet.invariants.calls.append(
+            (time.monotonic(), self.data_centre, request_id)
+        )
+        if self.service == "llm":
             await self._stream(exchange)
         else:
             await self._run_once(exchange)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -49,6 +49,14 @@
 """Time within which a gateway heeds a wait that a server names."""
 MAX_CALLS_IN_WAIT = 2
 """Calls of one gateway that may reach a server in its wait after that."""
+EVACUATE_S = 1.5
+"""Time after which an evacuated data centre gets no call."""
+UNSTABLE_EVACUATE_S = 6.0
+"""Added to that while coordinators are disturbed."""
+CONTACT_S = 4.0
+"""Time without a fault after which a gateway counts as in contact."""
+OPERATOR_S = 5.0
+"""Time within which an operator's call is answered by calm coordinators."""
 SPARE_ADDRESSES = 2
 """Addresses at which engines may return."""
 MEMORY_MB = 120.0
@@ -127,7 +135,12 @@
             "bootstrap": self.bootstrap,
             "dataDir": str(data),
             "heartbeatMs": emulator.HEARTBEAT_INTERVAL_S * 1000,
-            "bounds": {"stallMs": emulator.STALL_S * 1000, "graceS": 8},
+            "zones": dict.fromkeys(emulator.DATA_CENTRES, "r"),
+            "bounds": {
+                "stallMs": emulator.STALL_S * 1000,
+                "graceS": 8,
+                "evacuateMs": EVACUATE_S * 1000,
+            },
             "limits": {"memoryMb": MEMORY_MB},
         }
         path = self.folder / "boot.json"
@@ -180,12 +193,17 @@
 class Caller:
     """A caller with a connection that is reused until it ends."""
 
-    def __init__(self) -> None:
+    def __init__(self, calls: dict[str, str]) -> None:
+        self.calls = calls
+        """Receives the gateway of each call, by the call's id."""
         self.connection: h11.Connection | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self.gateway = ""
+        """Address of the gateway to which it connected last."""
 
     async def open(self, address: str) -> None:
         """Connect if the address accepts connections."""
+        self.gateway = address
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(1.0):
@@ -210,6 +228,7 @@
         """
         if self.connection is None or self.writer is None:
             raise ConnectionError("not connected")
+        self.calls[request_id] = self.gateway
         head = h11.Request(
             method="POST",
             target=path,
@@ -279,6 +298,9 @@
         )
         self.idle_routes = 0
         """Routes of the configuration that nobody calls."""
+        self.is_evacuating = False
+        self.gateway_by_call: dict[str, str] = {}
+        """Address of the gateway to which each call was made, by its id."""
         self.version = 0
         self.acknowledged = 0
         self.served = 0
@@ -355,6 +377,57 @@
                 return coordinator
         return None
 
+    async def order_evacuation(self, action: str, data_centre: str) -> bool:
+        """Make an operator's call until it is acknowledged.
+
+        Records a violation if that takes too long. Returns False if the run
+        ends before.
+        """
+        began_s = time.monotonic()
+        path = f"/api/Evacuations.{action}/{data_centre}"
+        while not self.stopping:
+            address = self.random.choice(self.control)
+            reply = await emulator.post(address, path, b"")
+            if reply is not None and reply[0] == 200:
+                taken_s = time.monotonic() - began_s
+                if taken_s > OPERATOR_S and self.is_control_calm(began_s):
+                    self.invariants.record_violation(
+                        "operators are answered", f"{path}: {taken_s:.2f} s"
+                    )
+                return True
+            if reply is not None and 400 <= reply[0] < 500:
+                self.invariants.record_violation(
+                    "accepted changes", f"{path}: {reply}"
+                )
+                return False
+            await asyncio.sleep(0.1)
+        return False
+
+    def is_control_calm(self, since_s: float) -> bool:
+        """Return whether no coordinator was disturbed since then."""
+        return all(each.is_calm(since_s) for each in self.coordinators)
+
+    def check_evacuation(
+        self, data_centre: str, from_s: float, until_s: float
+    ) -> None:
+        """Record calls that gateways in contact sent to a data centre."""
+        by_address = {each.address(FRONT_PORT): each for each in self.gateways}
+        for at_s, place, request_id in self.invariants.calls:
+            if place != data_centre or not from_s < at_s < until_s:
+                continue
+            gateway = by_address.get(self.gateway_by_call.get(request_id, ""))
+            if (
+                gateway is not None
+                and not gateway.is_paused
+                and not gateway.restart_lock.locked()
+                and gateway.last_fault_s < at_s - CONTACT_S
+            ):
+                self.invariants.record_violation(
+                    "an evacuated data centre gets nothing",
+                    f"{request_id} by {gateway.node} reached {data_centre} "
+                    f"{at_s - from_s:.2f} s after the bound",
+                )
+
     async def _watch_memory(self) -> None:
         """Record programs that use more memory than their machines have."""
         while not self.stopping:
@@ -525,7 +598,7 @@
 
     async def _call(self, number: int) -> None:
         """Make calls one after the other until the run stops."""
-        caller = Caller()
+        caller = Caller(self.gateway_by_call)
         count = 0
         while not self.stopping:
             count += 1
@@ -789,7 +862,7 @@
 @fault
 async def send_lethal_prompts(soak: Soak) -> None:
     """Send requests with a part that crashes engines, to any gateway."""
-    caller = Caller()
+    caller = Caller(soak.gateway_by_call)
     for count in range(8):
         gateway = soak.random.choice(soak.gateways)
         await caller.open(gateway.address(FRONT_PORT))
@@ -902,6 +975,27 @@
     await asyncio.sleep(0)
 
 
+@fault
+async def evacuate(soak: Soak) -> None:
+    """Evacuate a data centre and reinstate it after a while."""
+    if soak.is_evacuating:
+        return
+    soak.is_evacuating = True
+    data_centre = soak.random.choice(emulator.DATA_CENTRES)
+    began_s = time.monotonic()
+    if await soak.order_evacuation("Start", data_centre):
+        acknowledged_s = time.monotonic()
+        await asyncio.sleep(soak.random.uniform(2.0, 8.0))
+        bound_s = EVACUATE_S
+        if not soak.is_control_calm(began_s):
+            bound_s += UNSTABLE_EVACUATE_S
+        soak.check_evacuation(
+            data_centre, acknowledged_s + bound_s, time.monotonic()
+        )
+    await soak.order_evacuation("Finish", data_centre)
+    soak.is_evacuating = False
+
+
 async def run_seed(
     seed: int,
     duration_s: float,
