Limit the requests to cold servers over all gateways

Cause: a server that has just started crashes above a rate of requests, and each gateway fills a head that it finds empty by itself.

Change: services may have a cold rate. Gateways check when a slot is reserved and again just before the send. A new leader, and one without recent contact to a quorum, grants nothing. Without a cold rate no new fields are sent and choices are as before.

--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -128,6 +128,10 @@
         self.crashes = crashes_module.CrashRecord()
         """Ends of heads, as reported by all gateways."""
         self.crashes.subscribe(self.notify)
+        self.take_grants: collections.abc.Callable[
+            [ids.EntryId, float], tuple[int, tuple[messages.ColdGrant, ...]]
+        ] = lambda _gateway, _now_s: (0, ())
+        """Returns the echo and the grants of a gateway's next view."""
         self.index: _BackendIndex | None = None
         self.packed_catalog: tuple[int, bytes] = (-1, b"")
         """Version of a catalog, and the catalog as gateways receive it."""
@@ -144,6 +148,11 @@
         for subscription in self.subscriptions.values():
             subscription.changed.set()
 
+    def notify_gateway(self, gateway: ids.EntryId) -> None:
+        """Send pending changes to one gateway."""
+        if gateway in self.subscriptions:
+            self.subscriptions[gateway].changed.set()
+
     def end_all(self) -> None:
         """End all streams, because another voter leads."""
         for subscription in self.subscriptions.values():
@@ -258,6 +267,8 @@
             )
         )
         due_s = subscription.sent_s + interval_s(len(self.subscriptions))
+        echo, grants = self.take_grants(subscription.report.gateway, now_s)
+        has_changes = has_changes or bool(grants)
         if not has_changes and now_s < due_s - COALESCE_S:
             return None
         catalog = (
@@ -285,6 +296,8 @@
             reads_packed=True,
             crashes=crashes,
             withdrawn=state.withdrawn,
+            grants=grants,
+            echo=echo if grants else 0,
         )
 
     def _pack(self, view: messages.GatewayView) -> messages.GatewayView:
--- a/src/flamingocleat/connection/peer.py
+++ b/src/flamingocleat/connection/peer.py
@@ -123,7 +123,9 @@
         self.next_index = max(entries.base_index + 1, entries.last_index)
         self.match_index = 0
         self.contact_s = time.monotonic()
-        """Send time of the last request that was answered."""
+        """Send time of the last request that was answered, or the start."""
+        self.answered_s = float("-inf")
+        """The same, but no time before the first answer."""
         self.confirmed_round = 0
         self.entries_added = asyncio.Event()
         self.round_begun = asyncio.Event()
@@ -214,6 +216,7 @@
         self.reads_packed = reply.reads_packed
         if reply.term == self.term:
             self.contact_s = max(self.contact_s, sent_s)
+            self.answered_s = max(self.answered_s, sent_s)
             self.confirmed_round = max(self.confirmed_round, confirmation_round)
             if reply.success:
                 self.match_index = max(self.match_index, reply.match_index)
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -457,6 +457,22 @@
     written: tuple[WrittenPart, ...] = ()
 
 
+class ColdWanted(Message, frozen=True):
+    """A server that a gateway treats as cold, and what it would send to it."""
+
+    backend: ids.BackendId
+    wanted: int = 0
+    cold_ms: int = 0
+    """Remaining cold time that the server stated in an answer."""
+
+
+class ColdGrant(Message, frozen=True):
+    """Requests that a gateway may send to a cold server."""
+
+    backend: ids.BackendId
+    requests: int
+
+
 class GatewayReport(Message, frozen=True):
     """State of a gateway, reported to the leader."""
 
@@ -474,6 +490,8 @@
     """Whether the gateway reads compressed views."""
     crashes: CrashEvidence | None = None
     """All that the gateway knows, if that has changed."""
+    cold_wanted: tuple[ColdWanted, ...] = ()
+    """All servers that the gateway treats as cold."""
 
 
 class ReportBody(Message, frozen=True):
@@ -497,6 +515,11 @@
     """Prompt tokens that it processes per second; 0 if unknown."""
     born_ms: int = 0
     """Start of its lifetime as Unix time; 0 if unknown."""
+    cold_ms: int = 0
+    """Remaining time for which it counts as cold, from the view's arrival on,
+    unless a later view says that it is warm."""
+    cold_per_s: float = 0.0
+    """Requests per second that it tolerates while cold; 0: never cold."""
 
 
 class OtherGatewaysLoad(Message, frozen=True):
@@ -536,6 +559,9 @@
     withdrawn: tuple[ids.BackendId, ...] = ()
     """Servers that drain or have left, until the view is settled: the gateway
     may know them from another leader."""
+    grants: tuple[ColdGrant, ...] = ()
+    echo: int = 0
+    """Sequence of the report that the grants answer."""
 
 
 class ViewBody(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -31,6 +31,8 @@
 from flamingocleat.process import timer as timer_module
 from flamingocleat.process import voters as voters_module
 from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import cold as cold_module
+from flamingocleat.version import cold_servers
 from flamingocleat.version import confirmations
 from flamingocleat.version import declared
 from flamingocleat.version import demand as demand_module
@@ -156,6 +158,13 @@
         self.publisher = feed.Publisher(
             self.leadership.admit, self._fleet_state, self._on_gateway_report
         )
+        self.grants = cold_module.Grants(
+            settings.cold,
+            self.leadership.quorum_contact_s,
+            self.publisher.notify_gateway,
+        )
+        self.publisher.take_grants = self.grants.take
+        self.cold_servers = cold_servers.ColdServers(self.grants)
         self.fleet = fleet_module.Fleet()
         self.fleet.subscribe(self._on_fleet_change)
         self.demand = demand_module.DemandTotals()
@@ -251,6 +260,7 @@
         for stored in self.machine.withdrawals.values():
             self.fleet.withdraw(stored.withdrawal, now_s)
         self.managers.clear()
+        self.cold_servers.begin(now_s)
         self.served_backends = ()
         self._update_managers()
         self.ready_since_s = time.monotonic()
@@ -299,6 +309,7 @@
     def _on_gateway_report(self, report: messages.GatewayReport) -> None:
         now_s = time.monotonic()
         self.demand.record(report)
+        self.cold_servers.record_report(report, now_s)
         for manager in self.managers.values():
             manager.has_traffic = manager.has_traffic or report.requests > 0
         for head in report.heads:
@@ -397,6 +408,7 @@
         orders: Orders = []
         for manager in self.managers.values():
             manager.in_flight = in_flight
+            manager.cold_per_s = self.cold_servers.cold_per_s()
             orders += [(manager, order) for order in manager.step(now_s)]
         self._read_states(now_s)
         self._update_served_backends()
@@ -546,7 +558,7 @@
                         msgspec.structs.replace(
                             _to_served_backend(head.announcement),
                             slots=min(
-                                head.announcement.slots, manager.capacity(group)
+                                head.announcement.slots, manager.slots(group)
                             ),
                             model=group.model,
                             group=group.name,
@@ -554,7 +566,9 @@
                         )
                     )
         served.sort(key=lambda each: each.backend)
-        return tuple(served)
+        return self.cold_servers.mark(
+            served, self.catalog, self.fleet, now_s, is_complete=self.settled
+        )
 
     # HTTP calls from operators and backend servers.
 
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -27,6 +27,9 @@
 
 _log = logs.logger("gateway")
 
+COLD_DISPATCH_S = 0.1
+"""Interval at which requests get what has become free of a server's limit per
+second."""
 SILENCE_CHECK_S = 0.05
 """Interval of the check for silent heads; 200 ms of silence is too long."""
 PROBE_INTERVAL_S = 0.5
@@ -68,6 +71,7 @@
             settings.data_centre, self.candidates
         )
         self.admission.knows_all_servers = lambda: self.has_settled
+        self.admission.cold.bounds = settings.cold
         self.budget = budget_module.Budget(settings.budget)
         self.forwarder = forward.Forwarder(
             header_names, self.admission, self.budget
@@ -78,6 +82,7 @@
             self._apply_view,
             self.forwarder.guard.crashes,
         )
+        self.admission.cold.request_report = self.subscriber.report_now.set
         self.forwarder.view_age_s = lambda: min(
             MAX_LOGGED_VIEW_AGE_S, time.monotonic() - self.subscriber.heard_s
         )
@@ -93,6 +98,7 @@
     def reload(self) -> None:
         """Reload the settings; the next search for a leader uses them."""
         self.settings = self.read_settings()
+        self.admission.cold.bounds = self.settings.cold
 
     async def run(self) -> int:
         """Serve until shutdown is requested; return the exit status."""
@@ -104,6 +110,9 @@
             await self.metrics.start(self.settings.metrics_listen)
         self.timer.subscribe("silence", SILENCE_CHECK_S, self._check_silence)
         self.timer.subscribe("probe", PROBE_INTERVAL_S, self._probe)
+        self.timer.subscribe(
+            "cold", COLD_DISPATCH_S, self.admission.dispatch_limited
+        )
         tasks = [
             asyncio.create_task(self.timer.run()),
             asyncio.create_task(self.subscriber.run()),
@@ -183,6 +192,7 @@
                 backends=len(backends_in_view),
             )
         self.candidates.discard(view.withdrawn)
+        self.admission.cold.apply_view(view)
         self.candidates.update_load(view.load)
 
     def _apply_catalog(self, catalog: catalog_module.Catalog) -> None:
@@ -218,6 +228,7 @@
                 )
                 for (service, model), count in self.admission.demand.items()
             ),
+            cold_wanted=self.admission.cold.wanted(sequence, self.admission),
         )
 
     # Silent heads.
--- a/src/flamingocleat/process/leadership.py
+++ b/src/flamingocleat/process/leadership.py
@@ -82,6 +82,24 @@
             return ""
         return self.consensus.leader_address
 
+    def quorum_contact_s(self) -> float:
+        """Return when a quorum last followed this leader, for certain.
+
+        It is the send time of the latest request that a quorum has answered in
+        this term. No later leader was elected before then.
+        """
+        if not self.ready.is_set():
+            return float("-inf")
+        consensus = self.consensus
+        answered_s = {
+            voter: peer.answered_s for voter, peer in consensus.peers.items()
+        }
+        for contact_s in (self.clock(), *sorted(answered_s.values())[::-1]):
+            voters = {v for v, at_s in answered_s.items() if at_s >= contact_s}
+            if consensus.membership.has_quorum(voters | {consensus.voter}):
+                return contact_s
+        return float("-inf")
+
     def restart_announce_wait(self, reason: str) -> None:
         """Give agents time to announce again before VMs count as lost."""
         logs.warning(_log, "announce_wait_restarted", reason=reason)
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -5,6 +5,7 @@
 from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.request import budget as budget_module
+from flamingocleat.version import cold as cold_module
 
 
 class Settings(
@@ -123,6 +124,8 @@
     control: tuple[str, ...]
     """gRPC addresses of the voters to contact first."""
     budget: budget_module.BudgetSettings = budget_module.BudgetSettings()
+    cold: cold_module.ColdBounds = cold_module.ColdBounds()
+    """How far the rate of cold servers may be exceeded in one second."""
     drain_notice_s: float = 3.0
     """Seconds after SIGTERM until the load balancer has noticed."""
     grace_s: float = 8.0
@@ -149,6 +152,8 @@
     """Interval between announcements of a backend server."""
     stall_s: float = 4.0
     """Time until a head that lost a member reports its group as broken."""
+    cold: cold_module.ColdBounds = cold_module.ColdBounds()
+    """How far the rate of cold servers may be exceeded in one second."""
     spares: int = 1
     """Number of VMs of each fabric domain that are kept out of groups."""
     grace_s: float = 8.0
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -19,6 +19,8 @@
 
 from flamingocleat import errors
 from flamingocleat import ids
+from flamingocleat.request import cold as cold_module
+from flamingocleat.request import eligibility
 from flamingocleat.version import candidates as candidates_module
 
 ON_TIME_WAIT_FRACTION = 0.25
@@ -188,6 +190,7 @@
         this gateway yet."""
         self.late_waits: dict[ServiceModel, LateWaitStats] = {}
         self.demand: dict[ServiceModel, DemandCount] = {}
+        self.cold = cold_module.ColdGate(candidates, clock)
         candidates.subscribe(self.dispatch)
 
     async def place(
@@ -249,6 +252,7 @@
         entry = _QueuedRequest(demand, excluded, placed, resuming)
         self.waiting.append(entry)
         self.dispatch()
+        self._ask_for_grants(entry, now_s)
         try:
             async with asyncio.timeout(until_s - now_s):
                 found = await placed
@@ -294,6 +298,15 @@
             until_s = late_s
         return min(until_s, demand.deadline_s)
 
+    def _ask_for_grants(self, entry: _QueuedRequest, now_s: float) -> None:
+        """Report at once if a request waits although a cold server is free."""
+        demand = entry.demand
+        if entry in self.waiting and any(
+            self.cold.is_cold(each, now_s)
+            for each in self.candidates.find(demand.service, demand.model)
+        ):
+            self.cold.ask()
+
     def _mean_duration_s(self, service_model: ServiceModel) -> float:
         return self.duration_s.get(service_model, INITIAL_DURATION_S)
 
@@ -325,23 +338,23 @@
         usable.
         """
         now_s = self.clock()
-        in_flight = sum(
-            each.total
-            for each in self.candidates.find(demand.service, demand.model)
-            if not each.is_avoided(now_s)
-        )
-        if not in_flight:
+        in_flight, limited_per_s = 0, 0.0
+        for each in self.candidates.find(demand.service, demand.model):
+            if each.is_avoided(now_s):
+                continue
+            if self.cold.is_limited(each, now_s):
+                limited_per_s += self.cold.rate_per_s(each, now_s)
+            else:
+                in_flight += each.total
+        if not in_flight and not limited_per_s:
             return float("inf")
         ahead = sum(
             demand.competes_with(each)
             and each.demand.priority <= demand.priority
             for each in self.waiting
         )
-        return (
-            (ahead + 1)
-            * self._mean_duration_s(demand.service_model)
-            / in_flight
-        )
+        mean_s = self._mean_duration_s(demand.service_model)
+        return (ahead + 1) * mean_s / (in_flight + limited_per_s * mean_s)
 
     def dispatch(self) -> None:
         """Assign free slots to waiting requests, in order."""
@@ -360,6 +373,15 @@
                 else:
                     entry.placed.set_result(found)
 
+    def dispatch_limited(self) -> None:
+        """Assign slots if requests wait for a part of a second's share.
+
+        No event tells when a second is over.
+        """
+        by_backend = self.candidates.by_backend
+        if any(each.view.cold_per_s for each in by_backend.values()):
+            self.dispatch()
+
     def choose(
         self,
         demand: Demand,
@@ -379,7 +401,7 @@
             for each in self.candidates.find(demand.service, demand.model)
             if each.view.backend not in excluded
             and each.total < each.view.slots * fraction
-            and each.accepts(now_s)
+            and eligibility.may_get_request(self, each, now_s)
         ]
         if demand.model:
             # A head that failed recently is used if there is no other, a
@@ -407,6 +429,7 @@
         found = self.choose(demand, excluded, resuming=resuming)
         if found is not None:
             found.in_flight += 1
+            self.cold.reserve(found)
         return found
 
     def _cost(
@@ -433,6 +456,7 @@
         wait_s = self.expected_wait_s(demand)
         if wait_s == float("inf"):
             waits_s = [each.wait_until_s - now_s for each in found]
+            waits_s += [self.cold.cold_left_s(each, now_s) for each in found]
             wait_s = min((w for w in waits_s if w > 0), default=REPAIR_S)
         jitter_s = self.random.uniform(0, RETRY_AFTER_JITTER_S)
         return NoCapacityError(
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -345,6 +345,8 @@
             client = await self._connect(attempt)
             if call.remaining_s() < MIN_REMAINING_S:
                 raise AttemptError(Failure.NOT_SENT, "no time is left")
+            if not self.admission.cold.may_send(candidate):
+                raise AttemptError(Failure.NOT_SENT, "a grant has expired")
             call.sent += 1
             call.sent_to.add(call.backend)
             headers = self._headers(
@@ -480,6 +482,8 @@
         """Record what the head of an answer tells about its server."""
         now_s = time.monotonic()
         candidate.mark_alive(now_s)
+        cold = answer.header(self.header_names.cold)
+        self.admission.cold.record_answer(candidate, cold)
         notices = candidate.notices
         leaving = answer.header(self.header_names.leaving)
         notices.record_leaving(candidate.lifetime, leaving)
--- a/src/flamingocleat/request/header_names.py
+++ b/src/flamingocleat/request/header_names.py
@@ -26,3 +26,5 @@
     """ID:TOKENS for each part of the prompt, separated by commas; the last
     part is the request's own."""
     urgency: bytes = b"flamingocleat-urgency"
+    cold: bytes = b"flamingocleat-cold-ms"
+    """In an answer: for how long the server stays cold, in ms."""
--- a/src/flamingocleat/version/catalog.py
+++ b/src/flamingocleat/version/catalog.py
@@ -85,12 +85,16 @@
         return None
 
 
-class Service(msgspec.Struct, frozen=True):
+class Service(msgspec.Struct, frozen=True, omit_defaults=True):
     """A kind of backend server."""
 
     name: ids.ServiceId
     max_connections: int
     engine: Engine | None = None
+    cold_start_s: float = 0.0
+    """How long a server is cold after its start."""
+    cold_per_s: float = 0.0
+    """Requests per second that it tolerates while cold; 0: never cold."""
 
 
 class Target(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/flamingocleat/version/cold_servers.py
@@ -0,0 +1,177 @@
+"""Which of the listed servers are cold, as the leader knows it."""
+
+import collections.abc
+
+import msgspec
+
+from flamingocleat import ids
+from flamingocleat import messages
+from flamingocleat.process import logs
+from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import cold as cold_module
+from flamingocleat.version import fleet as fleet_module
+
+_log = logs.logger("cold")
+
+MADE_AFTER_S = 0.3
+"""An announcement counts as made after a server was listed if it arrives this
+much later. Announcements name no time; usually they travel for 3 ms, or 0.2 s
+more after a lost packet."""
+HOLD_S = 1.0
+"""Added to the cold time that gateways are told. They normally learn from a
+view that a server is warm; without a leader they go by this time."""
+RETELL_S = 0.5
+"""Gateways are told a new cold time if it differs by more than this."""
+
+
+class _Status(msgspec.Struct):
+    """What is known of one listed server of a service with a cold rate."""
+
+    identity: tuple[str, int]
+    """Group and start of the lifetime."""
+    listed_s: float
+    is_confirmed: bool
+    """Whether an announcement since it was listed says whether it is cold."""
+    answered_s: float = float("-inf")
+    """When a gateway last reported that an answer said it was cold."""
+    answered_until_s: float = float("-inf")
+    told_until_s: float = float("-inf")
+    told_ms: int = 0
+
+
+class ColdServers:
+    """Marks cold servers in the list that gateways receive."""
+
+    def __init__(self, grants: cold_module.Grants) -> None:
+        self.grants = grants
+        self.statuses: dict[ids.BackendId, _Status] = {}
+        self.has_listed = False
+        """Whether a complete list was made in this term."""
+
+    def begin(self, now_s: float) -> None:
+        """Start a leader's term."""
+        self.statuses.clear()
+        self.has_listed = False
+        self.grants.begin(now_s)
+
+    def cold_per_s(self) -> dict[ids.BackendId, float]:
+        """Return the rates of the servers that were cold in the last list."""
+        return {
+            backend: server.per_s
+            for backend, server in self.grants.servers.items()
+            if server.per_s
+        }
+
+    def record_report(
+        self, report: messages.GatewayReport, now_s: float
+    ) -> None:
+        """Record what a gateway's report says of cold servers."""
+        for each in report.cold_wanted:
+            status = self.statuses.get(each.backend)
+            if each.cold_ms > 0 and status is not None:
+                status.answered_s = now_s
+                status.answered_until_s = now_s + each.cold_ms / 1000
+        if self.statuses:
+            self.grants.record_report(report, now_s)
+
+    def mark(
+        self,
+        served: collections.abc.Iterable[messages.ServedBackend],
+        catalog: catalog_module.Catalog | None,
+        fleet: fleet_module.Fleet,
+        now_s: float,
+        *,
+        is_complete: bool,
+    ) -> tuple[messages.ServedBackend, ...]:
+        """Return a list of servers with their cold times.
+
+        Args:
+            served: The servers that gateways may use.
+            catalog: The configuration, which names services' cold rates.
+            fleet: All servers, with their latest announcements.
+            now_s: Current time.
+            is_complete: False while not all servers have announced themselves
+                to a new leader, which cannot tell which ones are newly listed.
+        """
+        rated = {
+            service.name: service
+            for service in (catalog.services if catalog else ())
+            if service.cold_per_s > 0
+        }
+        if not rated:
+            if self.statuses:
+                self.statuses.clear()
+                self.grants.set_servers({}, (), now_s)
+            return tuple(served)
+        before, self.statuses = self.statuses, {}
+        marked = []
+        for each in served:
+            service = rated.get(each.service)
+            known = fleet.backends.get(each.backend)
+            if service is not None and known is not None:
+                status = self._status(before.get(each.backend), each, now_s)
+                self.statuses[each.backend] = status
+                cold_ms = self._cold_ms(status, service, known, now_s)
+                each = msgspec.structs.replace(
+                    each, cold_ms=cold_ms, cold_per_s=service.cold_per_s
+                )
+            marked.append(each)
+        self.has_listed = self.has_listed or is_complete
+        self.grants.set_servers(
+            {e.backend: e.cold_per_s for e in marked if e.cold_ms},
+            [e.backend for e in marked if e.cold_per_s and not e.cold_ms],
+            now_s,
+        )
+        return tuple(marked)
+
+    def _status(
+        self,
+        known: _Status | None,
+        served: messages.ServedBackend,
+        now_s: float,
+    ) -> _Status:
+        identity = (served.group, served.born_ms)
+        if known is not None and known.identity == identity:
+            return known
+        # A new leader cannot tell which servers its predecessor had listed, and
+        # goes by their announcements.
+        status = _Status(identity, now_s, is_confirmed=not self.has_listed)
+        if known is not None and known.identity[1] == served.born_ms:
+            status.answered_s = known.answered_s
+            status.answered_until_s = known.answered_until_s
+        return status
+
+    def _cold_ms(
+        self,
+        status: _Status,
+        service: catalog_module.Service,
+        known: fleet_module.Backend,
+        now_s: float,
+    ) -> int:
+        """Return the cold time that gateways are told; 0 if it is warm."""
+        announced_s = known.announced_s
+        until_s = announced_s + known.announcement.cold_ms / 1000
+        if announced_s >= status.listed_s + MADE_AFTER_S:
+            status.is_confirmed = True
+        if status.answered_s > announced_s - MADE_AFTER_S:
+            until_s = max(until_s, status.answered_until_s)
+        if not status.is_confirmed:
+            until_s = max(until_s, status.listed_s + service.cold_start_s)
+            until_s = max(until_s, now_s + MADE_AFTER_S)
+        was_cold = status.told_ms > 0
+        if until_s <= now_s:
+            status.told_ms = 0
+        elif not was_cold or abs(until_s - status.told_until_s) > RETELL_S:
+            status.told_until_s = until_s
+            status.told_ms = round((until_s - now_s + HOLD_S) * 1000)
+        if was_cold != (status.told_ms > 0):
+            logs.info(
+                _log,
+                "server_warm" if was_cold else "server_cold",
+                backend=known.announcement.backend,
+                group=status.identity[0],
+                announced_ms=known.announcement.cold_ms,
+                told_ms=status.told_ms,
+                is_confirmed=status.is_confirmed,
+            )
+        return status.told_ms
--- a/src/flamingocleat/version/fleet.py
+++ b/src/flamingocleat/version/fleet.py
@@ -65,6 +65,8 @@
     model: str = ""
     """Model of the group that this server belongs to, if any."""
     group: GroupReport | None = None
+    cold_ms: int = 0
+    """Remaining time for which the server is cold; 0 if it is not."""
 
     @property
     def lifetime(self) -> ids.Lifetime:
@@ -334,4 +336,11 @@
 
 
 def _differs_beyond_sequence(before: Announcement, after: Announcement) -> bool:
-    return msgspec.structs.replace(before, sequence=after.sequence) != after
+    # The cold time is counted down in each announcement.
+    cold_ms = after.cold_ms if before.cold_ms and after.cold_ms else None
+    before = msgspec.structs.replace(
+        before,
+        sequence=after.sequence,
+        cold_ms=before.cold_ms if cold_ms is None else cold_ms,
+    )
+    return before != after
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -16,6 +16,7 @@
 from flamingocleat.process import logs
 from flamingocleat.version import adoption as adoption_module
 from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import cold
 from flamingocleat.version import confirmations as confirmations_module
 from flamingocleat.version import conversion
 from flamingocleat.version import fleet as fleet_module
@@ -107,6 +108,8 @@
         self.holders: collections.Counter[str] = collections.Counter()
         """Number of idle VMs known to hold a model's weights, as of the last
         step."""
+        self.cold_per_s: dict[ids.BackendId, float] = {}
+        """Rates of the listed heads that are cold."""
         self.has_traffic = False
         """Whether requests have arrived; only then are loads rate-limited."""
         self.unread: list[fleet_module.Backend] = []
@@ -121,11 +124,19 @@
             group for group in self.groups.values() if group.phase is Phase.OPEN
         ]
 
-    def capacity(self, group: Group) -> int:
+    def slots(self, group: Group) -> int:
         """Return how many concurrent requests a group should have."""
         assert self.engine is not None
         return formation.capacity(self.engine, spans=self._spans_domains(group))
 
+    def capacity(self, group: Group) -> int:
+        """Return the slots that a group can fill, which a cold rate limits."""
+        slots, per_s = self.slots(group), self.cold_per_s.get(group.head)
+        if per_s and self.engine is not None:
+            pace = self.pace(group)
+            slots = min(slots, cold.cold_slots(self.engine, pace, per_s))
+        return slots
+
     def pace(self, group: Group) -> float:
         """Return the factor by which a group scales the engine's times."""
         assert self.engine is not None
