--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -466,6 +466,15 @@
     """Remaining cold time that the server stated in an answer."""
 
 
+class ColdReport(Message, frozen=True):
+    """What a gateway that knows cold servers tells the leader."""
+
+    servers: tuple[ColdWanted, ...] = ()
+    """All servers that it treats as cold."""
+    gateways: int = 1
+    """Gateways that it has heard of; a new leader may not know all yet."""
+
+
 class ColdGrant(Message, frozen=True):
     """Requests that a gateway may send to a cold server."""
 
@@ -490,8 +499,7 @@
     """Whether the gateway reads compressed views."""
     crashes: CrashEvidence | None = None
     """All that the gateway knows, if that has changed."""
-    cold_wanted: tuple[ColdWanted, ...] = ()
-    """All servers that the gateway treats as cold."""
+    cold_wanted: ColdReport | None = None
 
 
 class ReportBody(Message, frozen=True):
--- a/src/flamingocleat/request/cold.py
+++ b/src/flamingocleat/request/cold.py
@@ -238,7 +238,7 @@
 
     def wanted(
         self, sequence: int, admission: "admission_module.Admission"
-    ) -> tuple[messages.ColdWanted, ...]:
+    ) -> messages.ColdReport | None:
         """Return what the report with this sequence asks for.
 
         It names each cold server that this gateway knows, since the leader
@@ -260,7 +260,7 @@
                 )
         self._measure_callers(admission, now_s)
         if not by_model:
-            return ()
+            return None
         self.reports_s[sequence] = now_s
         wanted = []
         for service_model, cold in by_model.items():
@@ -268,16 +268,21 @@
                 each.demand.service_model == service_model
                 for each in admission.waiting
             )
-            callers += math.ceil(
+            # Rounded down, since the grants of a gateway with few callers would
+            # expire unused while callers wait elsewhere.
+            callers += math.floor(
                 self.callers_per_s.get(service_model, 0.0) * HORIZON_S
             )
             for candidate in cold:
                 account = self._account(candidate)
                 account.expire(now_s)
                 callers -= len(account.grants)
-            each_wants = math.ceil(max(0, callers) / len(cold))
-            wanted += [self._want(each, each_wants, now_s) for each in cold]
-        return tuple(wanted)
+            each_wants, more = divmod(max(0, callers), len(cold))
+            first = sequence % len(cold)
+            for index, candidate in enumerate((*cold[first:], *cold[:first])):
+                requests = each_wants + (index < more)
+                wanted.append(self._want(candidate, requests, now_s))
+        return messages.ColdReport(tuple(wanted), self.gateways)
 
     def _want(
         self,
--- a/src/flamingocleat/version/cold.py
+++ b/src/flamingocleat/version/cold.py
@@ -77,9 +77,15 @@
 
 def cold_slots(engine: catalog_module.Engine, pace: float, per_s: float) -> int:
     """Return how many requests a cold group has in flight at its rate."""
-    request_s = engine.mean_prompt_tokens / max(1.0, engine.read_per_s)
-    request_s += engine.mean_answer_tokens * engine.step_ms / 1000
-    return max(1, math.ceil(per_s * request_s * pace))
+    alone_s = engine.mean_prompt_tokens / max(1.0, engine.read_per_s)
+    alone_s += engine.mean_answer_tokens * engine.step_ms / 1000
+    # Each stream makes the steps of all others longer.
+    added_s = engine.mean_answer_tokens * engine.sequence_ms / 1000
+    free = 1 - per_s * pace * added_s
+    if free <= 0:
+        return engine.slots
+    in_flight = math.ceil(per_s * pace * alone_s / free)
+    return min(engine.slots, max(1, in_flight))
 
 
 class _Server:
@@ -116,6 +122,8 @@
         self.received_s = float("-inf")
         self.wanted: dict[ids.BackendId, int] = {}
         """Requests that it asked for and was not given, by cold server."""
+        self.gateways = 0
+        """Gateways that it has heard of."""
         self.heads: frozenset[ids.BackendId] = frozenset()
         """Heads that it knows and does not treat as cold."""
         self.warm_until_s: dict[ids.BackendId, float] = {}
@@ -166,9 +174,12 @@
             self.warm_listed_s[backend] = now_s
         for backend, per_s in cold.items():
             server = self.servers.get(backend)
+            is_new = server is None
             if server is None:
                 self.servers[backend] = server = _Server(per_s, now_s)
                 server.tokens = self._depth(per_s)
+            if is_new or not server.per_s:
+                self._charge_last_window(backend, now_s)
             server.per_s = per_s
         for backend in [each for each in self.servers if each not in cold]:
             if not self.servers[backend].charged(now_s):
@@ -187,9 +198,9 @@
             self._charge_warm(gateway, backend, now_s)
         gateway.sequence = report.sequence
         gateway.received_s = now_s
-        gateway.wanted = {
-            each.backend: each.wanted for each in report.cold_wanted
-        }
+        cold = report.cold_wanted or messages.ColdReport(gateways=0)
+        gateway.wanted = {each.backend: each.wanted for each in cold.servers}
+        gateway.gateways = cold.gateways
         gateway.heads = frozenset(
             head.backend
             for head in report.heads
@@ -314,14 +325,27 @@
     ) -> int:
         """Return how many more requests may be granted now."""
         bound = self.bounds.per_window(server.per_s)
-        share = self.bounds.warm_share(server.per_s, len(self.gateways))
-        unguided = 0
+        known = len(self.gateways)
+        gateways = max(
+            (each.gateways for each in self.gateways.values()), default=0
+        )
+        gateways = max(known, gateways)
+        share = self.bounds.warm_share(server.per_s, gateways)
+        # Gateways that have not connected yet may take the server for warm.
+        unguided = share * (gateways - known)
         for gateway in self.gateways.values():
             self._charge_warm(gateway, backend, now_s)
             if gateway.warm_until_s.get(backend, float("-inf")) >= now_s:
                 unguided += share
         return bound - server.charged(now_s) - unguided
 
+    def _charge_last_window(self, backend: ids.BackendId, now_s: float) -> None:
+        """Charge what gateways sent before they knew that a server is cold."""
+        warm_s = self.warm_listed_s.get(backend, float("-inf"))
+        if now_s - warm_s < ABSENT_AFTER_S + WINDOW_S:
+            for gateway in self.gateways.values():
+                gateway.warm_until_s[backend] = now_s + WINDOW_S
+
     def _charge_warm(
         self, gateway: _Gateway, backend: ids.BackendId, now_s: float
     ) -> None:
--- a/src/flamingocleat/version/cold_servers.py
+++ b/src/flamingocleat/version/cold_servers.py
@@ -32,9 +32,8 @@
     listed_s: float
     is_confirmed: bool
     """Whether an announcement since it was listed says whether it is cold."""
-    answered_s: float = float("-inf")
-    """When a gateway last reported that an answer said it was cold."""
     answered_until_s: float = float("-inf")
+    """Until when it is cold according to its answers to gateways."""
     told_until_s: float = float("-inf")
     told_ms: int = 0
 
@@ -66,11 +65,12 @@
         self, report: messages.GatewayReport, now_s: float
     ) -> None:
         """Record what a gateway's report says of cold servers."""
-        for each in report.cold_wanted:
+        cold = report.cold_wanted
+        for each in cold.servers if cold else ():
             status = self.statuses.get(each.backend)
             if each.cold_ms > 0 and status is not None:
-                status.answered_s = now_s
-                status.answered_until_s = now_s + each.cold_ms / 1000
+                until_s = now_s + each.cold_ms / 1000
+                status.answered_until_s = max(status.answered_until_s, until_s)
         if self.statuses:
             self.grants.record_report(report, now_s)
 
@@ -137,7 +137,6 @@
         # goes by their announcements.
         status = _Status(identity, now_s, is_confirmed=not self.has_listed)
         if known is not None and known.identity[1] == served.born_ms:
-            status.answered_s = known.answered_s
             status.answered_until_s = known.answered_until_s
         return status
 
@@ -150,11 +149,12 @@
     ) -> int:
         """Return the cold time that gateways are told; 0 if it is warm."""
         announced_s = known.announced_s
-        until_s = announced_s + known.announcement.cold_ms / 1000
+        until_s = max(
+            announced_s + known.announcement.cold_ms / 1000,
+            status.answered_until_s,
+        )
         if announced_s >= status.listed_s + MADE_AFTER_S:
             status.is_confirmed = True
-        if status.answered_s > announced_s - MADE_AFTER_S:
-            until_s = max(until_s, status.answered_until_s)
         if not status.is_confirmed:
             until_s = max(until_s, status.listed_s + service.cold_start_s)
             until_s = max(until_s, now_s + MADE_AFTER_S)
