--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -31,6 +31,11 @@
 LETHAL_PART = "dead"
 """Part of a prompt that crashes each engine that begins to write on it."""
 RESTART_S = 1.0
+COLD_S = 3.0
+"""How long engines are cold after their start, in runs with cold engines."""
+COLD_PER_S, COLD_OVERSHOOT, COLD_SLACK = 8.0, 1.5, 4.0
+MAX_COLD_ARRIVALS = int(COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK)
+"""Requests that a cold engine tolerates in any second."""
 
 
 def event(request_id: str, number: int) -> bytes:
@@ -82,6 +87,8 @@
         self.lethal_arrivals_s: list[float] = []
         """When requests with the lethal part reached engines."""
         self.lethal_crashes_s: list[float] = []
+        self.cold_arrivals = 0
+        """Requests that reached cold engines."""
 
     def record_violation(self, guarantee: str, detail: str) -> None:
         """Record the violation of a guarantee."""
@@ -98,6 +105,8 @@
         self.control = control
         self.random = random.Random(seed)
         self.servers: dict[str, Server] = {}
+        self.cold_s = 0.0
+        """How long engines are cold after their start."""
         self.restarts: set[asyncio.Task] = set()
 
     def restart_later(self, server: "Server", delay_s: float) -> None:
@@ -181,6 +190,11 @@
         self.heartbeat_url = ""
         self.is_leaving = False
         self.arrivals_s = []
+        self.cold_until_s = time.monotonic()
+        if self.service == "llm":
+            self.cold_until_s += self.fleet.cold_s
+        self.cold_arrivals_s: collections.deque[float] = collections.deque()
+        """When calls reached it while it was cold, in the last second."""
 
     async def start(self) -> None:
         """Begin to listen and to announce itself."""
@@ -239,7 +253,7 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
-            "coldLeftMs": 0,
+            "coldLeftMs": self.cold_left_ms(),
             "sequence": self.sequence,
             "born": self.born_ms,
             "domain": self.domain,
@@ -250,6 +264,34 @@
             body["group"] = self._group_report()
         return body
 
+    def cold_left_ms(self) -> int:
+        """Return for how long it stays cold."""
+        left_s = self.cold_until_s - time.monotonic()
+        return max(0, round(left_s * 1000))
+
+    def _count_cold_arrival(self, exchange: http.Exchange) -> None:
+        """Check the rate of calls that reach it while it is cold.
+
+        A link that is slow delivers calls of several seconds at once; what
+        counts is sent and arrives within one second.
+        """
+        now_s = time.monotonic()
+        is_meant = exchange.header(b"x-expect-instance") == self.name
+        if now_s >= self.cold_until_s or not is_meant:
+            return
+        if self.proxy is not None and now_s - self.proxy.delayed_s < 1.0:
+            self.cold_arrivals_s.clear()
+            return
+        self.fleet.invariants.cold_arrivals += 1
+        self.cold_arrivals_s.append(now_s)
+        while self.cold_arrivals_s[0] < now_s - 1.0:
+            self.cold_arrivals_s.popleft()
+        if len(self.cold_arrivals_s) > MAX_COLD_ARRIVALS:
+            self.fleet.invariants.record_violation(
+                "cold servers get few calls",
+                f"{self.name}: {len(self.cold_arrivals_s)} in a second",
+            )
+
     async def _announce_periodically(self) -> None:
         while True:
             self.spawn(self.announce())
@@ -439,6 +481,8 @@
 
     async def _stream(self, exchange: http.Exchange) -> None:
         request_id = exchange.header(b"x-request-id")
+        if not self.rank:
+            self._count_cold_arrival(exchange)
         if self.rank or self.state != "open":
             await self._refuse(exchange, 421 if self.rank else 503)
             return
@@ -519,6 +563,9 @@
 
     def _echo(self, exchange: http.Exchange) -> http.Headers:
         leaving = [(b"server-leaving", b"1")] if self.is_leaving else []
+        if self.cold_left_ms():
+            left = str(self.cold_left_ms()).encode()
+            leaving.append((b"x-cold-remaining", left))
         return [
             (b"x-request-id", exchange.header(b"x-request-id").encode()),
             (b"content-type", b"text/event-stream"),
@@ -562,6 +609,8 @@
         self.listen = listen
         self.target = target
         self.delay_s = 0.0
+        self.delayed_s = float("-inf")
+        """When bytes that were delayed last went on."""
         self.dropped_directions: set[str] = set()
         """Directions, "up" or "down", in which bytes are lost."""
         self.writers: set[asyncio.StreamWriter] = set()
@@ -617,6 +666,7 @@
         while data := await reader.read(65_536):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
+                self.delayed_s = time.monotonic()
             if direction not in self.dropped_directions:
                 writer.write(data)
                 await writer.drain()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -59,6 +59,9 @@
 FIRST_WRITES_S = 3.0
 """Time within which it writes them."""
 LETHAL_CRASHES = 5
+CROWD = 30
+"""Callers that wait while engines return; they would fill all slots at once."""
+CROWD_S = 4.0
 MAX_LETHAL_ARRIVALS = 3
 """Requests with the lethal part that may reach engines later than CALM_S after
 that many crashes."""
@@ -127,7 +130,12 @@
             "bootstrap": self.bootstrap,
             "dataDir": str(data),
             "heartbeatMs": emulator.HEARTBEAT_INTERVAL_S * 1000,
-            "bounds": {"stallMs": emulator.STALL_S * 1000, "graceS": 8},
+            "bounds": {
+                "stallMs": emulator.STALL_S * 1000,
+                "graceS": 8,
+                "coldOvershoot": emulator.COLD_OVERSHOOT,
+                "coldSlack": emulator.COLD_SLACK,
+            },
             "limits": {"memoryMb": MEMORY_MB},
         }
         path = self.folder / "boot.json"
@@ -271,6 +279,8 @@
             Program(self, "gateway", n + 1) for n in range(GATEWAYS)
         ]
         self.fleet = emulator.Fleet(self.invariants, self.control, seed)
+        if "return_together" in faults:
+            self.fleet.cold_s = emulator.COLD_S
         self.proxies: list[emulator.Proxy] = []
         self.spare_proxies: list[emulator.Proxy] = []
         """Proxies at addresses that no server uses."""
@@ -426,6 +436,12 @@
             "targetLatencyMs": 400,
             "allowAnonymous": True,
         }
+        cold_rate = {
+            "coldStartS": emulator.COLD_S,
+            "coldPerS": emulator.COLD_PER_S,
+        }
+        if not self.fleet.cold_s:
+            cold_rate = {}
         return {
             "version": self.version,
             "routes": [
@@ -466,7 +482,7 @@
                 ),
             ],
             "services": [
-                {"name": "llm", "engine": _ENGINE},
+                {"name": "llm", "engine": _ENGINE, **cold_rate},
                 {"name": "desk"},
             ],
             "limits": {},
@@ -814,6 +830,38 @@
         )
 
 
+@fault
+async def return_together(soak: Soak) -> None:
+    """Lose all engines at once; they return cold while many callers wait."""
+    engines = [each for each in soak.engines if each.is_alive]
+    for server in engines:
+        server.crash()
+    await asyncio.sleep(soak.random.uniform(0.3, 1.5))
+    for server in engines:
+        await server.restart_if_down()
+    end_s = time.monotonic() + CROWD_S
+
+    async def call(number: int) -> None:
+        caller = Caller()
+        gateway = soak.gateways[number % len(soak.gateways)]
+        count = 0
+        while time.monotonic() < end_s:
+            count += 1
+            if caller.connection is None:
+                await caller.open(gateway.address(FRONT_PORT))
+            request_id = f"{soak.seed}-crowd-{end_s}-{number}-{count}"
+            try:
+                answer, _ = await caller.request("/s/x", request_id)
+                if answer.status != 200:
+                    await asyncio.sleep(0.1)
+            except (OSError, h11.RemoteProtocolError, TimeoutError):
+                caller.close()
+                await asyncio.sleep(0.1)
+        caller.close()
+
+    await asyncio.gather(*(call(number) for number in range(CROWD)))
+
+
 @fault
 async def drop_lengths(soak: Soak) -> None:
     """Let an engine's streams end with their connections."""
@@ -937,6 +985,7 @@
             print(
                 f"seed={seed} served={soak.served} refused={soak.refused} "
                 f"version={soak.acknowledged} faults={len(soak.injected)} "
+                f"cold={soak.invariants.cold_arrivals} "
                 f"broken={len(soak.invariants.violations)}",
                 flush=True,
             )
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -83,6 +83,18 @@
     assert settings.stall_s == 4.0
 
 
+def test_bounds_of_cold_servers_are_translated():
+    """Both sides of the limit must use the same bound."""
+    bounds = {**SETTINGS["bounds"], "coldOvershoot": 1.5, "coldSlack": 5}
+    settings = {**SETTINGS, "bounds": bounds, "dataDir": "/data"}
+    listen = {**SETTINGS["listen"], "control": "10.1.0.40:8229"}
+    settings["listen"] = listen
+    read = msgspec.convert(settings, boot.BootSettings)
+    for made in (boot.gateway_settings(read), boot.coordinator_settings(read)):
+        assert made.cold.per_window(28.0) == 47
+    assert boot.HEADER_NAMES.cold == b"x-cold-remaining"
+
+
 def test_unreadable_settings_are_an_error():
     """Guards against an error that doesn't name the field of a wrong type."""
     with pytest.raises(msgspec.ValidationError, match="seeds"):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -21,12 +21,17 @@
     "lose_leader_beside_late_announcements",
     "return_elsewhere",
     "grow_configuration",
+    "return_together",
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
 SEEDS_OF_ALL_FAULTS = {
     400: "never failed",
 }
+COLD_FAULTS = {"return_together", "kill", "pause", "crash_server"}
+SEEDS_OF_COLD_FAULTS = {
+    500: "never failed",
+}
 DURATION_S = 8.0
 
 
@@ -55,3 +60,12 @@
 def test_soak_with_all_faults_violates_no_guarantee(tmp_path, seed):
     """The same, and backend servers leave, name waits or crash on prompts."""
     check(asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path)))
+
+
+@pytest.mark.parametrize("seed", sorted(SEEDS_OF_COLD_FAULTS))
+def test_engines_that_return_together_are_not_flooded(tmp_path, seed):
+    """Many callers wait as cold engines return, and programs fail meanwhile."""
+    faults = {name: soak.FAULTS[name] for name in COLD_FAULTS}
+    result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
+    check(result)
+    assert result.invariants.cold_arrivals > 0
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -134,6 +134,37 @@
         decode("POST", "/api/Instances.Heartbeat/i-1", heartbeat)
 
 
+@pytest.mark.parametrize(
+    ("left_ms", "cold_ms"),
+    [(0, 0), (None, 0), (1200, 1200), (0.5, 1), (-5, 0), (1e300, 600_000)],
+)
+def test_cold_time_of_an_announcement_is_translated(left_ms, cold_ms):
+    """A cold server would be filled like any other."""
+    body = {**HEARTBEAT, "coldLeftMs": left_ms}
+    call = decode("POST", "/api/Instances.Heartbeat/i-1", body)
+    assert call.announcement.cold_ms == cold_ms
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, (0.0, 0.0)),
+        ({"coldStartS": None, "coldPerS": None}, (0.0, 0.0)),
+        ({"coldStartS": 20, "coldPerS": 28}, (20.0, 28.0)),
+        ({"coldStartS": -1, "coldPerS": -1}, (0.0, 0.0)),
+        ({"coldStartS": 1e300, "coldPerS": 1e300}, (600.0, 1e6)),
+    ],
+)
+def test_cold_rate_of_a_service_is_translated(fields, expected):
+    """Without a rate a service is never cold."""
+    services = [{**CONFIG["services"][0], **fields}, *CONFIG["services"][1:]]
+    call = decode(
+        "POST", "/api/Config.Replace", {**CONFIG, "services": services}
+    )
+    service = call.catalog.services[0]
+    assert (service.cold_start_s, service.cold_per_s) == expected
+
+
 def test_departure_is_translated():
     """Guards against rejecting a departure that comes without a body."""
     path = "/api/Instances.Deregister/i-1"
