--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -31,6 +31,8 @@
 LETHAL_PART = "dead"
 """Part of a prompt that crashes each engine that begins to write on it."""
 RESTART_S = 1.0
+ACCEPT_S = 0.1
+"""Time for which connections may still be in the course of being accepted."""
 COLD_S = 3.0
 """How long engines are cold after their start, in runs with cold engines."""
 COLD_PER_S, COLD_OVERSHOOT, COLD_SLACK = 8.0, 1.5, 4.0
@@ -220,12 +222,20 @@
         self.http.close_listener()
         if self.proxy is not None:
             self.proxy.server.close()
-        for connection in list(self.http.connections):
-            reset_when_closed(connection.transport)
-            connection.abort()
+        self._abort_connections(self.http)
+        # Connections that were being accepted are not known before.
+        asyncio.get_running_loop().call_later(
+            ACCEPT_S, self._abort_connections, self.http
+        )
         for task in list(self.tasks):
             task.cancel()
 
+    @staticmethod
+    def _abort_connections(server: http.Server) -> None:
+        for connection in list(server.connections):
+            reset_when_closed(connection.transport)
+            connection.abort()
+
     async def restart(self, name: str = "") -> None:
         """Start a new incarnation, under a new name if none is given."""
         del self.fleet.servers[self.name]
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -422,6 +422,7 @@
             server.crash()
         for proxy in self.proxies:
             await proxy.close()
+        await asyncio.sleep(2 * emulator.ACCEPT_S)
         for program in (*self.coordinators, *self.gateways):
             if program.process is not None:
                 program.send(signal.SIGKILL)
