Test a burst at a server that turned cold unannounced

With the share of warm servers taken out it fails; the test with callers that wait all the time does not, since their first answers tell gateways.

--- a/tests/direct/test_cold_load.py
+++ b/tests/direct/test_cold_load.py
@@ -249,6 +249,20 @@
     assert 0 < world.most_in_a_second() <= BOUND
 
 
+def test_burst_at_an_idle_server_that_turned_cold_unannounced():
+    """No answer tells gateways of it before all callers are placed."""
+    world = cold_load.World(
+        cold_load.Settings(gateways=16, servers=1, callers_per_s=(0.0,))
+    )
+    world.run(5.0)
+    world.servers["s-0"].cold_until_s = world.now_s + 8.0
+    for gateway in world.gateways.values():
+        for _ in range(20):
+            gateway.call()
+    world.run(4.0)
+    assert 0 < world.most_in_a_second() <= BOUND
+
+
 def test_cut_off_gateway_that_takes_a_server_for_warm_is_counted():
     """A gateway without views may send to a server that has become cold."""
     world = cold_load.World(
