--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -32,6 +32,8 @@
 from flamingocleat.process import timer as timer_module
 from flamingocleat.process import voters as voters_module
 from flamingocleat.version import catalog as catalog_module
+from flamingocleat.version import cold as cold_module
+from flamingocleat.version import cold_servers
 from flamingocleat.version import confirmations
 from flamingocleat.version import declared
 from flamingocleat.version import demand as demand_module
@@ -159,6 +161,13 @@
             self._fleet_state,
             self._on_gateway_report,
         )
+        self.grants = cold_module.Grants(
+            settings.cold,
+            self.leadership.quorum_contact_s,
+            self.publisher.notify_gateway,
+        )
+        self.publisher.take_grants = self.grants.take
+        self.cold_servers = cold_servers.ColdServers(self.grants)
         self.fleet = fleet_module.Fleet()
         self.fleet.subscribe(self._on_fleet_change)
         self.demand = demand_module.DemandTotals()
@@ -263,6 +272,7 @@
         for stored in self.machine.withdrawals.values():
             self.fleet.withdraw(stored.withdrawal, now_s)
         self.managers.clear()
+        self.cold_servers.begin(now_s)
         self.served_backends = ()
         self._update_managers()
         self.ready_since_s = time.monotonic()
@@ -312,6 +322,7 @@
     def _on_gateway_report(self, report: messages.GatewayReport) -> None:
         now_s = time.monotonic()
         self.demand.record(report)
+        self.cold_servers.record_report(report, now_s)
         for manager in self.managers.values():
             manager.has_traffic = manager.has_traffic or report.requests > 0
         for head in report.heads:
@@ -411,6 +422,7 @@
         orders: Orders = []
         for manager in self.managers.values():
             manager.in_flight = in_flight
+            manager.cold_per_s = self.cold_servers.cold_per_s()
             orders += [(manager, order) for order in manager.step(now_s)]
         self.evacuations.review(self.managers)
         self._read_states(now_s)
@@ -564,7 +576,7 @@
                         msgspec.structs.replace(
                             _to_served_backend(head.announcement),
                             slots=min(
-                                head.announcement.slots, manager.capacity(group)
+                                head.announcement.slots, manager.slots(group)
                             ),
                             model=group.model,
                             group=group.name,
@@ -572,7 +584,9 @@
                         )
                     )
         served.sort(key=lambda each: each.backend)
-        return tuple(served)
+        return self.cold_servers.mark(
+            served, self.catalog, self.fleet, now_s, is_complete=self.settled
+        )
 
     # HTTP calls from operators and backend servers.
 
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -5,6 +5,7 @@
 from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.request import budget as budget_module
+from flamingocleat.version import cold as cold_module
 
 
 class Settings(
@@ -123,6 +124,8 @@
     control: tuple[str, ...]
     """gRPC addresses of the voters to contact first."""
     budget: budget_module.BudgetSettings = budget_module.BudgetSettings()
+    cold: cold_module.ColdBounds = cold_module.ColdBounds()
+    """How far the rate of cold servers may be exceeded in one second."""
     drain_notice_s: float = 3.0
     """Seconds after SIGTERM until the load balancer has noticed."""
     grace_s: float = 8.0
@@ -155,6 +158,8 @@
     evacuate_s: float = 5.0
     """Time after the acknowledgement of an evacuation from which no request may
     reach the data centre."""
+    cold: cold_module.ColdBounds = cold_module.ColdBounds()
+    """How far the rate of cold servers may be exceeded in one second."""
     spares: int = 1
     """Number of VMs of each fabric domain that are kept out of groups."""
     grace_s: float = 8.0
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -33,6 +33,13 @@
 RESTART_S = 1.0
 DATA_CENTRES = ("z0", "z1")
 """The domains d0 and d1 are in these."""
+ACCEPT_S = 0.1
+"""Time for which connections may still be in the course of being accepted."""
+COLD_S = 3.0
+"""How long engines are cold after their start, in runs with cold engines."""
+COLD_PER_S, COLD_OVERSHOOT, COLD_SLACK = 8.0, 1.5, 4.0
+MAX_COLD_ARRIVALS = int(COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK)
+"""Requests that a cold engine tolerates in any second."""
 
 
 def event(request_id: str, number: int) -> bytes:
@@ -86,6 +93,8 @@
         self.lethal_crashes_s: list[float] = []
         self.calls: list[tuple[float, str, str]] = []
         """Time, data centre and id of each call that reached a server."""
+        self.cold_arrivals = 0
+        """Requests that reached cold engines."""
 
     def record_violation(self, guarantee: str, detail: str) -> None:
         """Record the violation of a guarantee."""
@@ -102,6 +111,8 @@
         self.control = control
         self.random = random.Random(seed)
         self.servers: dict[str, Server] = {}
+        self.cold_s = 0.0
+        """How long engines are cold after their start."""
         self.restarts: set[asyncio.Task] = set()
 
     def restart_later(self, server: "Server", delay_s: float) -> None:
@@ -186,6 +197,11 @@
         self.heartbeat_url = ""
         self.is_leaving = False
         self.arrivals_s = []
+        self.cold_until_s = time.monotonic()
+        if self.service == "llm":
+            self.cold_until_s += self.fleet.cold_s
+        self.cold_arrivals_s: collections.deque[float] = collections.deque()
+        """When calls reached it while it was cold, in the last second."""
 
     async def start(self) -> None:
         """Begin to listen and to announce itself."""
@@ -211,12 +227,20 @@
         self.http.close_listener()
         if self.proxy is not None:
             self.proxy.server.close()
-        for connection in list(self.http.connections):
-            reset_when_closed(connection.transport)
-            connection.abort()
+        self._abort_connections(self.http)
+        # Connections that were being accepted are not known before.
+        asyncio.get_running_loop().call_later(
+            ACCEPT_S, self._abort_connections, self.http
+        )
         for task in list(self.tasks):
             task.cancel()
 
+    @staticmethod
+    def _abort_connections(server: http.Server) -> None:
+        for connection in list(server.connections):
+            reset_when_closed(connection.transport)
+            connection.abort()
+
     async def restart(self, name: str = "") -> None:
         """Start a new incarnation, under a new name if none is given."""
         del self.fleet.servers[self.name]
@@ -244,7 +268,7 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
-            "coldLeftMs": 0,
+            "coldLeftMs": self.cold_left_ms(),
             "sequence": self.sequence,
             "born": self.born_ms,
             "domain": self.domain,
@@ -255,6 +279,34 @@
             body["group"] = self._group_report()
         return body
 
+    def cold_left_ms(self) -> int:
+        """Return for how long it stays cold."""
+        left_s = self.cold_until_s - time.monotonic()
+        return max(0, round(left_s * 1000))
+
+    def _count_cold_arrival(self, exchange: http.Exchange) -> None:
+        """Check the rate of calls that reach it while it is cold.
+
+        A link that is slow delivers calls of several seconds at once; what
+        counts is sent and arrives within one second.
+        """
+        now_s = time.monotonic()
+        is_meant = exchange.header(b"x-expect-instance") == self.name
+        if now_s >= self.cold_until_s or not is_meant:
+            return
+        if self.proxy is not None and now_s - self.proxy.delayed_s < 1.0:
+            self.cold_arrivals_s.clear()
+            return
+        self.fleet.invariants.cold_arrivals += 1
+        self.cold_arrivals_s.append(now_s)
+        while self.cold_arrivals_s[0] < now_s - 1.0:
+            self.cold_arrivals_s.popleft()
+        if len(self.cold_arrivals_s) > MAX_COLD_ARRIVALS:
+            self.fleet.invariants.record_violation(
+                "cold servers get few calls",
+                f"{self.name}: {len(self.cold_arrivals_s)} in a second",
+            )
+
     async def _announce_periodically(self) -> None:
         while True:
             self.spawn(self.announce())
@@ -452,6 +504,8 @@
 
     async def _stream(self, exchange: http.Exchange) -> None:
         request_id = exchange.header(b"x-request-id")
+        if not self.rank:
+            self._count_cold_arrival(exchange)
         if self.rank or self.state != "open":
             await self._refuse(exchange, 421 if self.rank else 503)
             return
@@ -532,6 +586,9 @@
 
     def _echo(self, exchange: http.Exchange) -> http.Headers:
         leaving = [(b"server-leaving", b"1")] if self.is_leaving else []
+        if self.cold_left_ms():
+            left = str(self.cold_left_ms()).encode()
+            leaving.append((b"x-cold-remaining", left))
         return [
             (b"x-request-id", exchange.header(b"x-request-id").encode()),
             (b"content-type", b"text/event-stream"),
@@ -575,6 +632,8 @@
         self.listen = listen
         self.target = target
         self.delay_s = 0.0
+        self.delayed_s = float("-inf")
+        """When bytes that were delayed last went on."""
         self.dropped_directions: set[str] = set()
         """Directions, "up" or "down", in which bytes are lost."""
         self.writers: set[asyncio.StreamWriter] = set()
@@ -630,6 +689,7 @@
         while data := await reader.read(65_536):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
+                self.delayed_s = time.monotonic()
             if direction not in self.dropped_directions:
                 writer.write(data)
                 await writer.drain()
