Report requests, refusals and late slots by priority

The leader knew how many requests of a model were refused, but neither how urgent they were nor how many got a slot too late, so it could not weigh one model's callers against another's.

--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -421,6 +421,16 @@
     """Start of its lifetime as Unix time; 0 if unknown."""
 
 
+class PriorityDemand(Message, frozen=True):
+    """Those of a model's requests that have one priority."""
+
+    priority: int
+    requested: int
+    refused: int
+    late: int
+    """Requests that got a slot too late to be on time."""
+
+
 class ModelDemand(Message, frozen=True):
     """Callers' requests for one model, or for a service without models."""
 
@@ -430,6 +440,8 @@
     """Requests since the gateway started, without those sent again."""
     refused: int
     """Those of them that found no slot in time."""
+    by_priority: tuple[PriorityDemand, ...] = ()
+    """The same by priority; empty from gateways of earlier builds."""
 
 
 class HeadEnd(Message, frozen=True):
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -213,9 +213,7 @@
                 if candidate.view.model
             ),
             demand=tuple(
-                messages.ModelDemand(
-                    service, model, count.requested, count.refused
-                )
+                count.report(service, model)
                 for (service, model), count in self.admission.demand.items()
             ),
         )
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -19,6 +19,7 @@
 
 from flamingocleat import errors
 from flamingocleat import ids
+from flamingocleat import messages
 from flamingocleat.version import candidates as candidates_module
 
 ON_TIME_WAIT_FRACTION = 0.25
@@ -64,6 +65,9 @@
 """Weight of the latest duration in the moving average."""
 MAX_COUNTED_MODELS = 64
 """Bound on the models whose requests are counted; callers may name any."""
+MAX_COUNTED_PRIORITY = 7
+"""Requests of this or a less urgent priority are counted together; customers
+may be configured with any priority."""
 MAX_WAITING = 64
 """Bound on the requests that wait in one gateway."""
 
@@ -157,11 +161,42 @@
         )
 
 
+class PriorityCount(msgspec.Struct):
+    """Requests of one priority for one service and model."""
+
+    requested: int = 0
+    refused: int = 0
+    late: int = 0
+
+
 class DemandCount(msgspec.Struct):
     """Requests for one service and model since the gateway started."""
 
     requested: int = 0
     refused: int = 0
+    by_priority: dict[int, PriorityCount] = msgspec.field(default_factory=dict)
+
+    def at(self, priority: int) -> PriorityCount:
+        """Return the count of one priority."""
+        bounded = min(max(0, priority), MAX_COUNTED_PRIORITY)
+        return self.by_priority.setdefault(bounded, PriorityCount())
+
+    def report(
+        self, service: ids.ServiceId, model: str
+    ) -> messages.ModelDemand:
+        """Return the counts as a gateway reports them."""
+        return messages.ModelDemand(
+            service,
+            model,
+            self.requested,
+            self.refused,
+            tuple(
+                messages.PriorityDemand(
+                    priority, each.requested, each.refused, each.late
+                )
+                for priority, each in sorted(self.by_priority.items())
+            ),
+        )
 
 
 class Admission:
@@ -215,12 +250,17 @@
         """
         is_first = not resuming and not excluded
         count = self._demand_count(demand.service_model)
+        priority_count = count.at(demand.priority)
         count.requested += is_first
+        priority_count.requested += is_first
         try:
-            return await self._place(demand, excluded, resuming=resuming)
+            found = await self._place(demand, excluded, resuming=resuming)
         except NoCapacityError:
             count.refused += is_first
+            priority_count.refused += is_first
             raise
+        priority_count.late += is_first and demand.is_late(self.clock())
+        return found
 
     def _demand_count(self, service_model: ServiceModel) -> DemandCount:
         if (
