--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -180,7 +180,8 @@
 class Caller:
     """A caller with a connection that is reused until it ends."""
 
-    def __init__(self) -> None:
+    def __init__(self, model: str = "m") -> None:
+        self.model = model
         self.connection: h11.Connection | None = None
         self.writer: asyncio.StreamWriter | None = None
 
@@ -217,7 +218,7 @@
                 ("host", "h"),
                 ("x-request-id", request_id),
                 ("x-request-deadline", str(DEADLINE_MS)),
-                ("x-model", "m"),
+                ("x-model", self.model),
                 ("x-token-counts", "100,50"),
                 ("x-prompt-prefix", f"{parts}{request_id}:50"),
                 ("content-length", "0"),
@@ -277,6 +278,9 @@
         self.crashes_first_starts = "grow_configuration" in faults and (
             seed % 2 == 1
         )
+        self.has_second_model = "burst" in faults
+        """Whether there is a second model, as urgent calls for `burst` need.
+        Seeds that once failed had one model."""
         self.idle_routes = 0
         """Routes of the configuration that nobody calls."""
         self.version = 0
@@ -439,6 +443,17 @@
                     "streamResume": True,
                     "targetGapMs": 300,
                 },
+                {
+                    **route,
+                    "name": "b",
+                    "pathPrefix": "/b/",
+                    "kind": "stream",
+                    "service": "llm",
+                    "maxAttempts": 3,
+                    "streamResume": True,
+                    "targetGapMs": 300,
+                    "priority": 0,
+                },
                 {
                     **route,
                     "name": "u",
@@ -466,12 +481,17 @@
                 ),
             ],
             "services": [
-                {"name": "llm", "engine": _ENGINE},
+                {"name": "llm", "engine": self._engine()},
                 {"name": "desk"},
             ],
             "limits": {},
         }
 
+    def _engine(self) -> dict:
+        if not self.has_second_model:
+            return _ENGINE
+        return {**_ENGINE, "models": [*_ENGINE["models"], _SECOND_MODEL]}
+
     async def _submit_configurations(self) -> None:
         """Submit new configurations to random coordinators."""
         while not self.stopping:
@@ -535,7 +555,7 @@
                 await caller.open(gateway.address(FRONT_PORT))
             try:
                 if number < 4:
-                    await self._stream(caller, request_id)
+                    await self.stream(caller, request_id)
                 else:
                     await self._call_once(caller, request_id)
             except (OSError, h11.RemoteProtocolError, TimeoutError):
@@ -543,9 +563,12 @@
                 await asyncio.sleep(0.1)
         caller.close()
 
-    async def _stream(self, caller: "Caller", request_id: str) -> None:
+    async def stream(
+        self, caller: "Caller", request_id: str, path: str = "/s/x"
+    ) -> None:
+        """Make one call whose answer is a stream."""
         parts = f"caller-{request_id.split('-')[1]}:50,"
-        answer, body = await caller.request("/s/x", request_id, parts)
+        answer, body = await caller.request(path, request_id, parts)
         if answer.status != 200:
             self._record_refusal(answer)
             await asyncio.sleep(0.1)
@@ -615,6 +638,42 @@
 }
 
 
+_SECOND_MODEL = {
+    "name": "n",
+    "size": 1,
+    "share": 0.2,
+    "loadS": emulator.LOAD_S,
+    "warmS": emulator.WARM_S,
+}
+BURST_CALLERS = 24
+"""Three times the slots of a group of the second model, which has one or two
+groups at first."""
+
+
+@fault
+async def burst(soak: Soak) -> None:
+    """Let urgent calls of the second model come in a burst."""
+    end_s = time.monotonic() + soak.random.uniform(2.0, 5.0)
+    gateways = [soak.random.choice(soak.gateways) for _ in range(BURST_CALLERS)]
+
+    async def call(number: int) -> None:
+        caller = Caller("n")
+        count = 0
+        while time.monotonic() < end_s and not soak.stopping:
+            count += 1
+            request_id = f"{soak.seed}-burst{number}-{end_s}-{count}"
+            if caller.connection is None:
+                await caller.open(gateways[number].address(FRONT_PORT))
+            try:
+                await soak.stream(caller, request_id, "/b/x")
+            except (OSError, h11.RemoteProtocolError, TimeoutError):
+                caller.close()
+                await asyncio.sleep(0.1)
+        caller.close()
+
+    await asyncio.gather(*map(call, range(BURST_CALLERS)))
+
+
 @fault
 async def kill(soak: Soak) -> None:
     """Kill a process and start it again."""
