Order waiting requests across gateways and between customers

A gateway with only less urgent callers took the slots for which urgent ones waited elsewhere, and a customer gained by sending more requests. Reports now state the waiting requests by priority, and views the most urgent ones that wait at other gateways, for which a gateway leaves free slots. Within one priority, customers take turns; a full queue refuses its last request for an earlier one.

The expected wait of a request that can be on time no longer counts late ones, which go behind it: in a burst each new arrival was taken for late.

--- a/src/flamingocleat/connection/feed.py
+++ b/src/flamingocleat/connection/feed.py
@@ -28,6 +28,7 @@
 from flamingocleat.connection import leader
 from flamingocleat.connection import packing
 from flamingocleat.process import logs
+from flamingocleat.request import fair_order
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import crashes as crashes_module
 from flamingocleat.version import routing
@@ -125,6 +126,7 @@
         self.subscriptions: dict[ids.EntryId, _Subscription] = {}
         self.totals: dict[ids.BackendId, tuple[int, int]] = {}
         """Requests in flight and unread tokens per head, over all gateways."""
+        self.waiting = fair_order.WaitingTotals()
         self.crashes = crashes_module.CrashRecord()
         """Ends of heads, as reported by all gateways."""
         self.crashes.subscribe(self.notify)
@@ -232,6 +234,7 @@
 
     def _count(self, report: messages.GatewayReport, sign: int) -> None:
         """Add a report to the totals (sign 1) or subtract it (sign -1)."""
+        self.waiting.add(report.waiting, sign)
         for head in report.heads:
             in_flight, unread = self.totals.get(head.backend, (0, 0))
             in_flight += sign * head.in_flight
@@ -285,6 +288,9 @@
             reads_packed=True,
             crashes=crashes,
             withdrawn=state.withdrawn,
+            waiting_elsewhere=self.waiting.elsewhere(
+                subscription.report.waiting
+            ),
         )
 
     def _pack(self, view: messages.GatewayView) -> messages.GatewayView:
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -444,6 +444,15 @@
     """The same by priority; empty from gateways of earlier builds."""
 
 
+class WaitingRequests(Message, frozen=True):
+    """Requests for one model that wait for a slot."""
+
+    service: ids.ServiceId
+    model: str
+    priority: int
+    count: int
+
+
 class HeadEnd(Message, frozen=True):
     """A head that ended while requests without an event were in flight."""
 
@@ -486,6 +495,8 @@
     """Whether the gateway reads compressed views."""
     crashes: CrashEvidence | None = None
     """All that the gateway knows, if that has changed."""
+    waiting: tuple[WaitingRequests, ...] = ()
+    """Its callers' requests that wait for a slot, by priority."""
 
 
 class ReportBody(Message, frozen=True):
@@ -548,6 +559,8 @@
     withdrawn: tuple[ids.BackendId, ...] = ()
     """Servers that drain or have left, until the view is settled: the gateway
     may know them from another leader."""
+    waiting_elsewhere: tuple[WaitingRequests, ...] = ()
+    """For each model, the most urgent requests that wait at other gateways."""
 
 
 class ViewBody(Message, frozen=True):
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -20,6 +20,7 @@
 from flamingocleat.process import timer as timer_module
 from flamingocleat.request import admission
 from flamingocleat.request import budget as budget_module
+from flamingocleat.request import fair_order
 from flamingocleat.request import forward
 from flamingocleat.request import header_names as header_names_module
 from flamingocleat.version import candidates as candidates_module
@@ -162,6 +163,9 @@
 
     def _apply_view(self, view: messages.GatewayView) -> None:
         self.budget.gateways = view.gateways
+        self.admission.elsewhere.update(
+            view.waiting_elsewhere, time.monotonic()
+        )
         if view.catalog is not None:
             self._apply_catalog(view.catalog)
         if self.served.apply(view) and (view.settled or not self.has_settled):
@@ -216,6 +220,7 @@
                 count.report(service, model)
                 for (service, model), count in self.admission.demand.items()
             ),
+            waiting=fair_order.count_waiting(self.admission.waiting),
         )
 
     # Silent heads.
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -20,6 +20,7 @@
 from flamingocleat import errors
 from flamingocleat import ids
 from flamingocleat import messages
+from flamingocleat.request import fair_order
 from flamingocleat.version import candidates as candidates_module
 
 ON_TIME_WAIT_FRACTION = 0.25
@@ -89,6 +90,7 @@
     prompt_tokens: int = 0
     repeatable: bool = True
     """Whether it may be sent again although it may have run."""
+    customer: ids.CustomerId = ids.CustomerId("")
     is_trial: bool = False
     """Whether its server may end, with all that the server has in flight."""
 
@@ -119,14 +121,14 @@
         self.retry_after_s = retry_after_s
 
 
-class _QueuedRequest(msgspec.Struct, eq=False):
+class _Place(msgspec.Struct, eq=False, kw_only=True):
+    """A place in the queue that a request has or would have."""
+
     demand: Demand
-    excluded: frozenset[ids.BackendId]
-    placed: asyncio.Future[candidates_module.Candidate]
     resuming: bool = False
 
-    def sort_key(self, now_s: float) -> tuple[bool, int, bool, float]:
-        """Return its position in the queue; the lowest is placed first."""
+    def sort_key(self, now_s: float) -> fair_order.SortKey:
+        """Return its position among the requests of its customer."""
         demand = self.demand
         if demand.is_late(now_s):
             # The request with the earliest deadline has waited longest.
@@ -134,6 +136,11 @@
         return not self.resuming, demand.priority, False, demand.arrived_s
 
 
+class _QueuedRequest(_Place, eq=False, kw_only=True):
+    excluded: frozenset[ids.BackendId]
+    placed: asyncio.Future[candidates_module.Candidate]
+
+
 class LateWaitStats:
     """Success rate of late requests that waited for one service and model.
 
@@ -223,6 +230,8 @@
         this gateway yet."""
         self.late_waits: dict[ServiceModel, LateWaitStats] = {}
         self.demand: dict[ServiceModel, DemandCount] = {}
+        self.order = fair_order.FairOrder()
+        self.elsewhere = fair_order.WaitingElsewhere()
         candidates.subscribe(self.dispatch)
 
     async def place(
@@ -283,10 +292,12 @@
                 return found
         now_s = self.clock()
         until_s = demand.deadline_s if resuming else self._wait_until_s(demand)
-        if until_s <= now_s or len(self.waiting) >= MAX_WAITING:
-            raise self._refusal(demand)
         placed = asyncio.get_running_loop().create_future()
-        entry = _QueuedRequest(demand, excluded, placed, resuming)
+        entry = _QueuedRequest(
+            demand=demand, resuming=resuming, excluded=excluded, placed=placed
+        )
+        if until_s <= now_s or not self._make_room(entry):
+            raise self._refusal(demand)
         self.waiting.append(entry)
         self.dispatch()
         try:
@@ -300,13 +311,32 @@
             self._record_wait(entry, False)
             raise self._refusal(demand) from error
         except asyncio.CancelledError:
-            if placed.done() and not placed.cancelled():
+            if (
+                placed.done()
+                and not placed.cancelled()
+                and not placed.exception()
+            ):
                 self.release(placed.result())
             raise
         finally:
             if entry in self.waiting:
                 self.waiting.remove(entry)
 
+    def _make_room(self, entry: _QueuedRequest) -> bool:
+        """Return whether a request may wait; the last one is refused for it.
+
+        So a customer that fills the queue does not keep out the others.
+        """
+        if len(self.waiting) < MAX_WAITING:
+            return True
+        last = self.order.sort([*self.waiting, entry], self.clock())[-1]
+        if last is entry:
+            return False
+        self.waiting.remove(last)
+        if not last.placed.done():
+            last.placed.set_exception(self._refusal(last.demand))
+        return True
+
     def _wait_until_s(self, demand: Demand) -> float:
         """Return until when a request may wait.
 
@@ -372,11 +402,11 @@
         )
         if not in_flight:
             return float("inf")
-        ahead = sum(
-            demand.competes_with(each)
-            and each.demand.priority <= demand.priority
-            for each in self.waiting
-        )
+        # Late requests wait behind those that can be on time, and those of a
+        # customer that has got many slots behind others.
+        place = _Place(demand=demand)
+        ahead = self.order.count_ahead(place, self.waiting, now_s)
+        ahead += self.elsewhere.count_before(demand, now_s)
         return (
             (ahead + 1)
             * self._mean_duration_s(demand.service_model)
@@ -388,7 +418,7 @@
         if not self.waiting:
             return
         now_s = self.clock()
-        self.waiting.sort(key=lambda entry: entry.sort_key(now_s))
+        self.waiting = self.order.sort(self.waiting, now_s)
         for entry in list(self.waiting):
             found = self.try_place(
                 entry.demand, entry.excluded, resuming=entry.resuming
@@ -444,11 +474,25 @@
         resuming: bool = False,
     ) -> candidates_module.Candidate | None:
         """Reserve a slot on the cheapest server; None if none is free."""
+        if not resuming and self._leaves_slots(demand):
+            return None
         found = self.choose(demand, excluded, resuming=resuming)
         if found is not None:
             found.in_flight += 1
+            self.order.record(demand, self.clock())
         return found
 
+    def _leaves_slots(self, demand: Demand) -> bool:
+        """Return whether the free slots are left to other gateways' callers."""
+        now_s = self.clock()
+        count = self.elsewhere.count_before(demand, now_s)
+        if not count:
+            return False
+        found = self.candidates.find(demand.service, demand.model)
+        slots = sum(each.view.slots for each in found)
+        free = slots - sum(each.total for each in found)
+        return free <= min(count, slots * fair_order.MAX_LEFT_FRACTION)
+
     def _cost(
         self, candidate: candidates_module.Candidate, demand: Demand
     ) -> tuple[float, str]:
--- a/src/flamingocleat/request/direct_call.py
+++ b/src/flamingocleat/request/direct_call.py
@@ -43,6 +43,7 @@
             deadline_s=self.deadline_s,
             arrived_s=exchange.arrived_s,
             prompt_tokens=_prompt_tokens(tokens, service),
+            customer=customer.name if customer else ids.CustomerId(""),
         )
         self.parts = (
             crash_guard.shared_parts(exchange.header(header_names.prompt_parts))
