--- a/tests/direct/test_feed.py
+++ b/tests/direct/test_feed.py
@@ -179,6 +179,40 @@
     asyncio.run(scenario())
 
 
+def test_waiting_requests_reach_other_gateways_until_their_stream_ends():
+    """Urgent requests must be known elsewhere, but not those of lost gateways.
+
+    Other gateways would leave slots free for callers that are gone.
+    """
+    waiting = (messages.WaitingRequests("llm", "large", 0, 3),)
+
+    async def scenario() -> None:
+        leader = Leader(gateways=3, heads=2)
+        first, second, third = leader.streams
+
+        def is_told(stream, expected) -> bool:
+            views = stream.views
+            return bool(views) and views[-1].waiting_elsewhere == expected
+
+        for stream in (first, second):
+            stream.reports.put_nowait(
+                messages.GatewayReport(
+                    stream.gateway, "a", 2, 1, 0, waiting=waiting
+                )
+            )
+        both = (messages.WaitingRequests("llm", "large", 0, 6),)
+        await leader.wait_until(
+            lambda: is_told(first, waiting) and is_told(third, both)
+        )
+        leader.tasks[0].cancel()
+        await leader.wait_until(
+            lambda: is_told(second, ()) and is_told(third, waiting)
+        )
+        await leader.stop()
+
+    asyncio.run(scenario())
+
+
 def test_interval_grows_with_the_number_of_gateways():
     """The leader must not be overloaded by many gateways.
 
