--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -421,6 +421,16 @@
     """Start of its lifetime as Unix time; 0 if unknown."""
 
 
+class PriorityDemand(Message, frozen=True):
+    """Those of a model's requests that have one priority."""
+
+    priority: int
+    requested: int
+    refused: int
+    late: int
+    """Requests that got a slot too late to be on time."""
+
+
 class ModelDemand(Message, frozen=True):
     """Callers' requests for one model, or for a service without models."""
 
@@ -430,6 +440,17 @@
     """Requests since the gateway started, without those sent again."""
     refused: int
     """Those of them that found no slot in time."""
+    by_priority: tuple[PriorityDemand, ...] = ()
+    """The same by priority; empty from gateways of earlier builds."""
+
+
+class WaitingRequests(Message, frozen=True):
+    """Requests for one model that wait for a slot."""
+
+    service: ids.ServiceId
+    model: str
+    priority: int
+    count: int
 
 
 class HeadEnd(Message, frozen=True):
@@ -500,6 +521,8 @@
     crashes: CrashEvidence | None = None
     """All that the gateway knows, if that has changed."""
     cold_wanted: ColdReport | None = None
+    waiting: tuple[WaitingRequests, ...] = ()
+    """Its callers' requests that wait for a slot, by priority."""
 
 
 class ReportBody(Message, frozen=True):
@@ -581,6 +604,8 @@
     grants: tuple[ColdGrant, ...] = ()
     echo: int = 0
     """Sequence of the report that the grants answer."""
+    waiting_elsewhere: tuple[WaitingRequests, ...] = ()
+    """For each model, the most urgent requests that wait at other gateways."""
 
 
 class ViewBody(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -321,7 +321,7 @@
 
     def _on_gateway_report(self, report: messages.GatewayReport) -> None:
         now_s = time.monotonic()
-        self.demand.record(report)
+        self.demand.record(report, now_s)
         self.cold_servers.record_report(report, now_s)
         for manager in self.managers.values():
             manager.has_traffic = manager.has_traffic or report.requests > 0
@@ -423,6 +423,7 @@
         for manager in self.managers.values():
             manager.in_flight = in_flight
             manager.cold_per_s = self.cold_servers.cold_per_s()
+            manager.demand = self.demand.rates(manager.service, now_s)
             orders += [(manager, order) for order in manager.step(now_s)]
         self.evacuations.review(self.managers)
         self._read_states(now_s)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -23,6 +23,7 @@
     "grow_configuration",
     "evacuate",
     "return_together",
+    "burst",
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
