Learn the pace of servers and the slots that they take well

Servers of one service differ in speed or slow down before they are full, and gateways chose them by their slots in use alone. Gateways now measure streams against the engine's cost model and plain answers against their route's mean, the leader compares servers with each other, and lists give pace and slots. Formation puts VMs of similar pace together and leaves slow ones over.

--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -401,6 +401,22 @@
 # Between gateways and the leader.
 
 
+class PaceSums(Message, frozen=True):
+    """Times that one gateway has measured at one backend server.
+
+    The sums grow for as long as the gateway lists the server, so that a lost
+    report loses nothing.
+    """
+
+    samples: int
+    observed_ms: float
+    expected_ms: float
+    """What the same work takes by the engine's cost model or, for plain
+    servers, takes on average at this gateway."""
+    load: float
+    """Sum over the samples of the requests in flight at the server."""
+
+
 class HeadReport(Message, frozen=True):
     """A gateway's observations of one backend server."""
 
@@ -419,6 +435,8 @@
     """Group that it leads, according to the gateway's view."""
     born_ms: int = 0
     """Start of its lifetime as Unix time; 0 if unknown."""
+    pace: PaceSums | None = None
+    """Measured times, if there are any."""
 
 
 class ModelDemand(Message, frozen=True):
@@ -497,6 +515,8 @@
     """Prompt tokens that it processes per second; 0 if unknown."""
     born_ms: int = 0
     """Start of its lifetime as Unix time; 0 if unknown."""
+    pace: float = 1.0
+    """Time that its work takes as a multiple of the declared time."""
 
 
 class OtherGatewaysLoad(Message, frozen=True):
--- a/src/flamingocleat/process/capacity_metrics.py
+++ b/src/flamingocleat/process/capacity_metrics.py
@@ -10,6 +10,7 @@
 from flamingocleat.version import demand as demand_module
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
+from flamingocleat.version import pace as pace_module
 from flamingocleat.version import service_survey
 
 _log = logs.logger("coordinator")
@@ -32,6 +33,14 @@
     "Requests that open groups have in hand",
     ["service", "model"],
 )
+_SLOW_SERVERS = prometheus_client.Gauge(
+    "flamingocleat_coordinator_slow_servers",
+    "Servers that are slower than others of their service and model",
+)
+_REDUCED_SERVERS = prometheus_client.Gauge(
+    "flamingocleat_coordinator_reduced_servers",
+    "Servers that take fewer requests well than they declare",
+)
 _LOGGED_PHASES = (
     group_module.Phase.FORMING,
     group_module.Phase.OPENING,
@@ -55,6 +64,12 @@
         _update_service(service, manager)
 
 
+def update_paces(paces: pace_module.Paces) -> None:
+    """Set the gauges of servers that differ from what they declare."""
+    _SLOW_SERVERS.set(sum(each.is_slow for each in paces.servers.values()))
+    _REDUCED_SERVERS.set(len(paces.reduced_slots()))
+
+
 def _update_service(
     service: ids.ServiceId, manager: groups_module.GroupManager
 ) -> None:
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -25,6 +25,7 @@
 from flamingocleat.process import consensus as consensus_module
 from flamingocleat.process import gateway
 from flamingocleat.process import leadership as leadership_module
+from flamingocleat.process import learned_paces
 from flamingocleat.process import logs
 from flamingocleat.process import settings as settings_module
 from flamingocleat.process import shutdown as shutdown_module
@@ -38,6 +39,7 @@
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
 from flamingocleat.version import orders as orders_module
+from flamingocleat.version import pace as pace_module
 
 _log = logs.logger("coordinator")
 
@@ -159,6 +161,7 @@
         self.fleet = fleet_module.Fleet()
         self.fleet.subscribe(self._on_fleet_change)
         self.demand = demand_module.DemandTotals()
+        self.paces = pace_module.Paces()
         self.managers: dict[ids.ServiceId, groups_module.GroupManager] = {}
         self.served_backends: tuple[messages.ServedBackend, ...] = ()
         """Backend servers that gateways may use, as of the last review."""
@@ -251,6 +254,7 @@
         for stored in self.machine.withdrawals.values():
             self.fleet.withdraw(stored.withdrawal, now_s)
         self.managers.clear()
+        self.paces.clear()
         self.served_backends = ()
         self._update_managers()
         self.ready_since_s = time.monotonic()
@@ -299,6 +303,7 @@
     def _on_gateway_report(self, report: messages.GatewayReport) -> None:
         now_s = time.monotonic()
         self.demand.record(report)
+        self.paces.record(report, now_s)
         for manager in self.managers.values():
             manager.has_traffic = manager.has_traffic or report.requests > 0
         for head in report.heads:
@@ -546,7 +551,8 @@
                         msgspec.structs.replace(
                             _to_served_backend(head.announcement),
                             slots=min(
-                                head.announcement.slots, manager.capacity(group)
+                                head.announcement.slots,
+                                manager.declared_capacity(group),
                             ),
                             model=group.model,
                             group=group.name,
@@ -554,7 +560,9 @@
                         )
                     )
         served.sort(key=lambda each: each.backend)
-        return tuple(served)
+        return learned_paces.apply(
+            self.paces, served, self.managers, self.fleet, now_s
+        )
 
     # HTTP calls from operators and backend servers.
 
@@ -723,6 +731,7 @@
     def _update_metrics(self) -> None:
         _LEADS.set(1 if self.leadership.ready.is_set() else 0)
         capacity_metrics.update(self.managers)
+        capacity_metrics.update_paces(self.paces)
         if self.leadership.ready.is_set() and self.settled:
             capacity_metrics.log_capacity(self.managers, self.demand)
 
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -22,6 +22,7 @@
 from flamingocleat.request import budget as budget_module
 from flamingocleat.request import forward
 from flamingocleat.request import header_names as header_names_module
+from flamingocleat.request import pace_samples
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog as catalog_module
 
@@ -103,6 +104,11 @@
         if self.settings.metrics_listen:
             await self.metrics.start(self.settings.metrics_listen)
         self.timer.subscribe("silence", SILENCE_CHECK_S, self._check_silence)
+        self.timer.subscribe(
+            "pace",
+            pace_samples.COLLECT_INTERVAL_S,
+            self.forwarder.pace.collect,
+        )
         self.timer.subscribe("probe", PROBE_INTERVAL_S, self._probe)
         tasks = [
             asyncio.create_task(self.timer.run()),
@@ -208,9 +214,9 @@
             version=catalog_index.catalog.version if catalog_index else -1,
             requests=self.forwarder.requests,
             heads=tuple(
-                candidate.report(now_s)
+                report
                 for candidate in self.candidates.by_backend.values()
-                if candidate.view.model
+                if (report := self.forwarder.pace.report(candidate, now_s))
             ),
             demand=tuple(
                 messages.ModelDemand(
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -19,6 +19,7 @@
 
 from flamingocleat import errors
 from flamingocleat import ids
+from flamingocleat import messages
 from flamingocleat.version import candidates as candidates_module
 
 ON_TIME_WAIT_FRACTION = 0.25
@@ -28,6 +29,9 @@
 """Load, as a fraction of the slots, that is added to the cost of a server in
 another data centre: the request crosses the link once each way, and the
 traffic is billed."""
+MIN_OWN_FRACTION = 0.1
+"""Least part of the objective that a request's own work takes on a server of
+the declared pace; a short prompt still needs a step or two."""
 REPAIR_S = 3.0
 """Expected time until a lost group is replaced: the loss is detected within
 0.8 s, and members with the weights in memory form another group in 1.4 to
@@ -416,10 +420,27 @@
             return candidate.total, candidate.view.backend
         cost = candidate.total / max(1, candidate.view.slots)
         cost += candidate.reading_s / max(0.05, demand.objective_s)
+        if candidate.view.pace > 1:
+            cost = self._slowed_cost(cost, candidate.view, demand)
         if candidate.view.data_centre != self.data_centre:
             cost += REMOTE_PENALTY
         return cost, candidate.view.backend
 
+    def _slowed_cost(
+        self, cost: float, view: messages.ServedBackend, demand: Demand
+    ) -> float:
+        """Return the cost of a server that is slower than declared.
+
+        What is there takes longer, and so does the request itself: an idle slow
+        server costs as much as a fast one that delays the request equally.
+        """
+        if view.read_per_s:
+            own_s = demand.prompt_tokens / view.read_per_s
+        else:
+            own_s = self._mean_duration_s(demand.service_model)
+        own = min(1.0, own_s / max(0.05, demand.objective_s))
+        return cost * view.pace + (view.pace - 1) * max(MIN_OWN_FRACTION, own)
+
     def _refusal(self, demand: Demand) -> NoCapacityError:
         now_s = self.clock()
         found = self.candidates.find(demand.service, demand.model)
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -26,6 +26,7 @@
 from flamingocleat.request import direct_call
 from flamingocleat.request import events
 from flamingocleat.request import header_names as header_names_module
+from flamingocleat.request import pace_samples
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog
 from flamingocleat.version import crashes
@@ -119,6 +120,7 @@
         self.client: http.Client | None = None
         self.can_retry = call.can_retry
         self.interrupted = ""
+        self.meter: pace_samples.StreamMeter | None = None
 
     def interrupt(self, reason: str) -> None:
         """Abort the attempt if its request may be retried elsewhere."""
@@ -152,6 +154,7 @@
         self.admission = admission
         self.budget = budget
         self.guard = crash_guard.CrashGuard(crashes.CrashRecord())
+        self.pace = pace_samples.PaceSamples()
         self.catalog_index: catalog.CatalogIndex | None = None
         self.requests = 0
         self.view_age_s: collections.abc.Callable[[], float] = lambda: 0.0
@@ -371,6 +374,8 @@
             raise AttemptError(Failure.UNKNOWN, reason) from error
         finally:
             candidate.attempts.discard(attempt)
+            if attempt.meter is not None:
+                attempt.meter.has_ended = True
             if attempt.client is not None:
                 attempt.client.close()
 
@@ -464,6 +469,7 @@
                 body = await client.read_all()
         except TimeoutError as error:
             attempt.candidate.mark_failed(time.monotonic())
+            self.pace.record_answer(attempt, call)
             raise AttemptError(Failure.UNKNOWN, "no answer in time") from error
         self.record_head(attempt.candidate, answer)
         self.check_answer(call, answer)
@@ -472,6 +478,8 @@
             failed.answer = (answer, body)
             raise failed
         attempt.candidate.mark_succeeded()
+        if answer.status < 300:
+            self.pace.record_answer(attempt, call)
         await self.send_answer(call, answer, body)
 
     def record_head(
@@ -656,6 +664,7 @@
 
     async def relay(self, attempt: Attempt, client: http.Client) -> None:
         """Forward events until the stream ends; raise if it breaks."""
+        attempt.meter = self.forwarder.pace.begin(attempt, self.call)
         answer = await client.answer()
         self.forwarder.record_head(attempt.candidate, answer)
         self.forwarder.check_answer(self.call, answer)
@@ -684,7 +693,10 @@
             except ValueError as error:
                 raise http.BrokenAnswerError(str(error)) from error
             if any(event.has_fields for event in found):
-                attempt.candidate.mark_alive(time.monotonic())
+                now_s = time.monotonic()
+                attempt.candidate.mark_alive(now_s)
+                if attempt.meter is not None:
+                    attempt.meter.record(now_s, len(found))
                 if not attempt.writing:
                     self.forwarder.guard.record_write(self.call.parts)
                 attempt.writing = True
--- a/src/flamingocleat/version/fleet.py
+++ b/src/flamingocleat/version/fleet.py
@@ -115,6 +115,12 @@
     """When it was received."""
     last_model: str = ""
     """Model of its last group, whose weights it can use again quickly."""
+    pace: float = 1.0
+    """Learned from its groups: expected multiple of the declared times."""
+    slow_groups: int = 0
+    """Slow groups that it was in since its last group of ordinary pace."""
+    slow_group: str = ""
+    """The last of these groups."""
 
 
 class Fleet:
--- a/src/flamingocleat/version/formation.py
+++ b/src/flamingocleat/version/formation.py
@@ -14,6 +14,10 @@
 
 Hosts = list[fleet_module.Backend]
 
+PACE_STEP = 0.5
+"""VMs whose paces differ by less than about this count as equally fast, so
+that small differences do not outweigh the time to load weights."""
+
 SHORT_LOAD_FRACTION = 0.85
 """Fraction of a model's capacity in use from which the model counts as short,
 because callers are then refused or wait."""
@@ -40,6 +44,11 @@
     )
 
 
+def pace_level(backend: fleet_module.Backend) -> int:
+    """Return how slow a VM is, in steps; 0 is about as declared."""
+    return round((backend.pace - 1) / PACE_STEP)
+
+
 def primary_model(backend: fleet_module.Backend) -> str:
     """Return the model that a VM is counted towards, or an empty string."""
     return next(iter(held_models(backend)), "")
@@ -227,13 +236,22 @@
         flexible: Also use VMs counted towards another model.
         reserved_for: Models whose weights a member must not hold.
     """
+    found: Hosts = []
     for hosts in idle.eligible(model, flexible=flexible).values():
         free = [
             host for host in hosts if reserved_for.isdisjoint(held_models(host))
         ]
-        if len(free) >= model.size:
-            return free[: model.size]
-    return []
+        if len(free) < model.size:
+            continue
+        chosen = free[: model.size]
+        if not found or _slowest(chosen) < _slowest(found):
+            found = chosen
+    return found
+
+
+def _slowest(hosts: Hosts) -> int:
+    """Return the level of the slowest member, which determines the group's."""
+    return max(map(pace_level, hosts))
 
 
 def _across_domains(model: catalog_module.Model, idle: IdleVms) -> Hosts:
@@ -242,6 +260,7 @@
         idle.eligible(model, flexible=True).values(), key=len, reverse=True
     )
     eligible = [host for pool in pools for host in pool]
+    eligible.sort(key=pace_level)
     return eligible[: model.size] if len(eligible) >= model.size else []
 
 
@@ -250,6 +269,9 @@
 ) -> Hosts:
     """Return the VMs with the weights; those that join fastest come first.
 
+    VMs of similar pace are next to each other, since a group runs at the pace
+    of its slowest member. Slow ones come last and so are left over as spares.
+
     Args:
         model: Model to serve.
         hosts: VMs to choose from.
@@ -263,6 +285,7 @@
     ]
     eligible.sort(
         key=lambda host: (
+            pace_level(host),
             host.last_model != model.name,
             primary_model(host) != model.name,
         )
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -111,6 +111,8 @@
         """Whether requests have arrived; only then are loads rate-limited."""
         self.unread: list[fleet_module.Backend] = []
         """VMs whose states should be read, as of the last step."""
+        self.reduced_slots: collections.abc.Mapping[ids.BackendId, int] = {}
+        """Slots of heads that take fewer requests well than declared."""
         self._layout: layout.Plan | None = None
 
     # Queries.
@@ -123,6 +125,11 @@
 
     def capacity(self, group: Group) -> int:
         """Return how many concurrent requests a group should have."""
+        declared = self.declared_capacity(group)
+        return min(declared, self.reduced_slots.get(group.head, declared))
+
+    def declared_capacity(self, group: Group) -> int:
+        """Return the same, according to the engine's cost model alone."""
         assert self.engine is not None
         return formation.capacity(self.engine, spans=self._spans_domains(group))
 
