--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -19,7 +19,6 @@
 
 from flamingocleat import errors
 from flamingocleat import ids
-from flamingocleat import messages
 from flamingocleat.version import candidates as candidates_module
 
 ON_TIME_WAIT_FRACTION = 0.25
@@ -29,9 +28,14 @@
 """Load, as a fraction of the slots, that is added to the cost of a server in
 another data centre: the request crosses the link once each way, and the
 traffic is billed."""
-MIN_OWN_FRACTION = 0.1
+MIN_OWN_FRACTION = 0.2
 """Least part of the objective that a request's own work takes on a server of
-the declared pace; a short prompt still needs a step or two."""
+the declared pace; a short prompt still waits for a pass and needs another."""
+MAX_PACE_COST = 0.35
+"""Bound on the cost of a server's pace. A slow server gets requests once the
+others have this much more of their slots in use: in simulations of a full load
+without the bound, fewer requests of the others were on time than with equal
+loads, and it leaves evidence of a recovery."""
 REPAIR_S = 3.0
 """Expected time until a lost group is replaced: the loss is detected within
 0.8 s, and members with the weights in memory form another group in 1.4 to
@@ -421,25 +425,28 @@
         cost = candidate.total / max(1, candidate.view.slots)
         cost += candidate.reading_s / max(0.05, demand.objective_s)
         if candidate.view.pace > 1:
-            cost = self._slowed_cost(cost, candidate.view, demand)
+            cost += self._pace_cost(candidate, demand)
         if candidate.view.data_centre != self.data_centre:
             cost += REMOTE_PENALTY
         return cost, candidate.view.backend
 
-    def _slowed_cost(
-        self, cost: float, view: messages.ServedBackend, demand: Demand
+    def _pace_cost(
+        self, candidate: candidates_module.Candidate, demand: Demand
     ) -> float:
-        """Return the cost of a server that is slower than declared.
+        """Return the cost of a server being slower than declared.
 
-        What is there takes longer, and so does the request itself: an idle slow
-        server costs as much as a fast one that delays the request equally.
+        It is the additional time until the first event, as a fraction of the
+        objective: for the prompts that are unread, and for the request itself.
         """
+        view = candidate.view
         if view.read_per_s:
             own_s = demand.prompt_tokens / view.read_per_s
         else:
             own_s = self._mean_duration_s(demand.service_model)
-        own = min(1.0, own_s / max(0.05, demand.objective_s))
-        return cost * view.pace + (view.pace - 1) * max(MIN_OWN_FRACTION, own)
+        objective_s = max(0.05, demand.objective_s)
+        own = max(MIN_OWN_FRACTION, own_s / objective_s)
+        reading = candidate.reading_s / objective_s
+        return min(MAX_PACE_COST, (view.pace - 1) * (own + reading))
 
     def _refusal(self, demand: Demand) -> NoCapacityError:
         now_s = self.clock()
--- a/src/flamingocleat/request/pace_samples.py
+++ b/src/flamingocleat/request/pace_samples.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.request import direct_call
 from flamingocleat.version import candidates as candidates_module
@@ -28,10 +29,13 @@
 """A collection that is later than this shows that the process was paused or
 has too little processor time, which makes all answers look late."""
 MAX_RATIO = 6.0
-"""Bound on the observed time as a multiple of the expected one, so that one
-stream that stood still does not outweigh all others."""
-ROUTE_SMOOTHING = 0.05
-"""Weight of the latest answer in the mean duration of its route."""
+"""Bound on the ratio of observed to expected time, as a multiple of its mean,
+so that one stream that stood still does not outweigh all others."""
+SMOOTHING = 0.05
+"""Weight of the latest sample in the mean ratio of a model, and of the latest
+answer in the mean duration of its route."""
+MIN_ROUTE_ANSWERS = 20
+"""Answers of a route before its mean is compared with."""
 RECENT_S = 1.0
 """A plain server is reported for this long after its last sample."""
 
@@ -102,15 +106,30 @@
     def add(
         self, observed_s: float, expected_s: float, load: int, now_s: float
     ) -> None:
-        if expected_s <= 0:
-            return
         self.samples += 1
-        self.observed_s += min(observed_s, MAX_RATIO * expected_s)
+        self.observed_s += observed_s
         self.expected_s += expected_s
         self.load += load
         self.changed_s = now_s
 
 
+class _Mean(msgspec.Struct):
+    """A mean that follows the latest values."""
+
+    count: int = 0
+    value: float = 0.0
+
+    def bound(self, value: float) -> float:
+        """Return a value that is at most MAX_RATIO times the mean."""
+        return min(value, MAX_RATIO * self.value) if self.count else value
+
+    def add(self, value: float) -> None:
+        """Add a value; the first ones count equally."""
+        self.count += 1
+        weight = max(SMOOTHING, 1 / self.count)
+        self.value += weight * (value - self.value)
+
+
 class _Answer(msgspec.Struct):
     candidate: candidates_module.Candidate
     route: str
@@ -130,8 +149,11 @@
         self.meters: set[StreamMeter] = set()
         self.answers: list[_Answer] = []
         """Answers of plain servers since the last collection."""
-        self.route_s: dict[str, float] = {}
-        """Mean duration of the answers on each route."""
+        self.routes: dict[str, _Mean] = {}
+        """Durations of plain servers' answers, by route."""
+        self.ratios: dict[tuple[ids.ServiceId, str], _Mean] = {}
+        """Observed as a multiple of expected times, by service and model. It is
+        about 1 if the declared cost model is right."""
         self.collected_s = clock()
 
     def begin(
@@ -210,13 +232,29 @@
         )
 
     def _add_answer(self, answer: _Answer, now_s: float) -> None:
-        mean_s = self.route_s.get(answer.route, answer.duration_s)
-        candidate = answer.candidate
-        sums = self.sums.setdefault(candidate, _Sums())
-        sums.add(answer.duration_s, mean_s, candidate.total + 1, now_s)
-        bounded_s = min(answer.duration_s, MAX_RATIO * mean_s)
-        self.route_s[answer.route] = mean_s + ROUTE_SMOOTHING * (
-            bounded_s - mean_s
+        route = self.routes.setdefault(answer.route, _Mean())
+        duration_s = route.bound(answer.duration_s)
+        if route.count >= MIN_ROUTE_ANSWERS:
+            candidate = answer.candidate
+            sums = self.sums.setdefault(candidate, _Sums())
+            sums.add(duration_s, route.value, candidate.total + 1, now_s)
+        route.add(duration_s)
+
+    def _add_events(
+        self,
+        head: candidates_module.Candidate,
+        observed_s: float,
+        expected_s: float,
+        now_s: float,
+    ) -> None:
+        if expected_s <= 0:
+            return
+        kind = (head.view.service, head.view.model)
+        mean = self.ratios.setdefault(kind, _Mean())
+        ratio = mean.bound(observed_s / expected_s)
+        mean.add(ratio)
+        self.sums[head].add(
+            ratio * expected_s, expected_s, max(1, head.total), now_s
         )
 
     def _add_streams(self, now_s: float) -> None:
@@ -231,26 +269,17 @@
             sums.reading_s = current_s
         for meter in self.meters:
             head = meter.candidate
-            sums, load = self.sums[head], max(1, head.total)
             if meter.expected_first_s and meter.first_s:
-                sums.add(
-                    meter.first_s - meter.started_s,
-                    meter.expected_first_s,
-                    load,
-                    now_s,
-                )
+                first_s = meter.first_s - meter.started_s
+                self._add_events(head, first_s, meter.expected_first_s, now_s)
                 meter.expected_first_s = 0.0
             if meter.events:
                 gap_s = pass_s(meter.engine, head) + min(
                     reading_s[head],
                     meter.engine.chunk_tokens / head.view.read_per_s,
                 )
-                sums.add(
-                    meter.last_s - meter.counted_s,
-                    gap_s * meter.events,
-                    load,
-                    now_s,
-                )
+                taken_s = meter.last_s - meter.counted_s
+                self._add_events(head, taken_s, gap_s * meter.events, now_s)
                 meter.events = 0
                 meter.counted_s = meter.last_s
 
--- a/src/flamingocleat/version/pace.py
+++ b/src/flamingocleat/version/pace.py
@@ -33,14 +33,16 @@
 """Age up to which readings of the head of a group count."""
 PLAIN_WINDOW_S = 8.0
 """The same for plain servers, which answer a few requests per second each."""
-SLOW_WINDOW_S = 4.0
+SLOW_WINDOW_S = 2.0
 """The same for a slow head, which gets few requests."""
 MIN_WINDOW_S = 0.4
 """Readings younger than this always count: two reports of each gateway."""
 ENOUGH_SAMPLES = 48
 """Older readings than that count until there are so many samples."""
-ENOUGH_TRIAL_SAMPLES = 8
-"""The same for a slow server: few, so that its recovery shows soon."""
+ENOUGH_TRIAL_SAMPLES = 4
+"""The same for a slow head: few, so that its recovery shows soon."""
+ENOUGH_PLAIN_TRIAL_SAMPLES = 8
+"""The same for a slow plain server, whose answers vary more."""
 MIN_SAMPLES = 6
 """Fewer samples than these say nothing of a server that counts as ordinary."""
 MIN_TRIAL_SAMPLES = 4
@@ -48,29 +50,29 @@
 SLOW_RATIO = 1.5
 """Times of the other servers, as a multiple, from which a server is slow. An
 answer takes about half of its objective on a server of the declared pace."""
-ORDINARY_RATIO = 1.25
+ORDINARY_RATIO = 1.35
 """Below this multiple a slow server counts as ordinary again."""
 CERTAIN_RATIO = 1.2
 """The multiple that must be exceeded by two standard errors."""
-SLOW_AFTER_S = 0.8
+SLOW_AFTER_S = 1.0
 """How long a server must be late before it counts as slow. The loads that
 gateways compare with are up to 0.4 s old, and a stream that stood still
 leaves one late sample."""
-MIN_READINGS = 4
+MIN_READINGS = 5
 """Readings in this time that must have arrived."""
 MAX_PACE = 6.0
-PACE_SMOOTHING = 0.4
+PACE_SMOOTHING = 0.2
 """Weight of the latest ratio in the pace of a slow server."""
 REFERENCE_QUANTILE = 1 / 3
 """Rank of the server that others are compared with, so that up to two thirds
 of the servers may be slow."""
-FIRST_HOLD_S = 2.0
+FIRST_HOLD_S = 1.5
 """How long a slow server without evidence keeps its pace. Then it decays with
 half of this as its time constant."""
 MAX_HOLD_S = 30.0
 FORGET_SLOWNESS_S = 60.0
 """A server that was ordinary for this long starts at FIRST_HOLD_S again."""
-PUBLISHED_STEP = 0.15
+PUBLISHED_STEP = 0.25
 """Relative change of a pace from which gateways are told."""
 MIN_SLOTS_FRACTION = 0.25
 """Floor of the slots, as a fraction of the declared ones: late answers are
@@ -228,6 +230,7 @@
             window_s, enough = SLOW_WINDOW_S, ENOUGH_TRIAL_SAMPLES
         if not self.listed.model:
             window_s = PLAIN_WINDOW_S
+            enough = ENOUGH_PLAIN_TRIAL_SAMPLES if self.is_slow else enough
         found, samples = [], 0
         for reading in reversed(self.readings):
             age_s = now_s - reading.at_s
@@ -519,10 +522,11 @@
         server.is_slow = server.is_returning = False
         server.pace = 1.0
         return
-    if server.is_returning and server.relative >= SLOW_RATIO:
-        server.hold_s = min(MAX_HOLD_S, server.hold_s * 2)
-    server.is_returning = False
-    server.slow_s = now_s
+    if server.relative >= SLOW_RATIO:
+        if server.is_returning:
+            server.hold_s = min(MAX_HOLD_S, server.hold_s * 2)
+        server.is_returning = False
+        server.slow_s = now_s
     target = min(MAX_PACE, server.relative)
     server.pace += PACE_SMOOTHING * (target - server.pace)
 
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -147,6 +147,8 @@
         """Whether its streams have a length or chunks."""
         self.stands_still = False
         """Whether its streams write nothing for now."""
+        self.slowness = 1.0
+        """Factor on the times that its answers take."""
         self.restart_lock = asyncio.Lock()
         self.is_moving = False
         """Whether it is down, and will start at another address."""
@@ -465,7 +467,7 @@
         answer = exchange if self.has_length else UnframedAnswer(exchange)
         answer.start(200, [*self._echo(exchange), SEAL_HEADER])
         while number < EVENTS:
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(EVENT_S * self.slowness)
             while self.stands_still:
                 await asyncio.sleep(EVENT_S)
             if not await self._wait_while_stalled(epoch):
@@ -503,7 +505,9 @@
             self.fleet.invariants.record_violation(
                 "at most once", f"{request_id} ran twice"
             )
-        await asyncio.sleep(self.fleet.random.uniform(0.01, 0.1))
+        await asyncio.sleep(
+            self.fleet.random.uniform(0.01, 0.1) * self.slowness
+        )
         if self.loses_answers:
             return
         body = f"filed {request_id}".encode()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -832,6 +832,17 @@
     server.stands_still = False
 
 
+@fault
+async def slow_down(soak: Soak) -> None:
+    """Let some servers answer slowly for some seconds."""
+    servers = soak.random.sample(list(soak.fleet.servers.values()), 3)
+    for server in servers:
+        server.slowness = soak.random.uniform(2.0, 5.0)
+    await asyncio.sleep(soak.random.uniform(1.0, 6.0))
+    for server in servers:
+        server.slowness = 1.0
+
+
 @fault
 async def delay_announcements(soak: Soak) -> None:
     """Let announcements of some engines arrive late and out of order."""
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -17,6 +17,7 @@
     "send_lethal_prompts",
     "drop_lengths",
     "stand_still",
+    "slow_down",
     "delay_announcements",
     "lose_leader_beside_late_announcements",
     "return_elsewhere",
