--- a/src/flamingocleat/request/pace_samples.py
+++ b/src/flamingocleat/request/pace_samples.py
@@ -37,7 +37,8 @@
 MIN_ROUTE_ANSWERS = 20
 """Answers of a route before its mean is compared with."""
 RECENT_S = 1.0
-"""A plain server is reported for this long after its last sample."""
+"""Sums are reported for this long after the last sample; a plain server without
+sums is not reported."""
 
 
 class Attempt(typing.Protocol):
@@ -209,7 +210,7 @@
         """
         sums = self.sums.get(candidate)
         pace = None
-        if sums is not None and sums.samples:
+        if sums is not None and now_s - sums.changed_s <= RECENT_S:
             pace = messages.PaceSums(
                 sums.samples,
                 round(sums.observed_s * 1000, 1),
@@ -219,7 +220,7 @@
         if candidate.view.model:
             report = candidate.report(now_s)
             return msgspec.structs.replace(report, pace=pace)
-        if sums is None or now_s - sums.changed_s > RECENT_S:
+        if pace is None:
             return None
         return messages.HeadReport(
             backend=candidate.view.backend,
--- a/src/flamingocleat/version/pace.py
+++ b/src/flamingocleat/version/pace.py
@@ -197,6 +197,8 @@
         self.light_ratio: float | None = None
         """Multiple of the others' times at its last light load."""
         self.slots = Slots(listed.slots, listed.slots)
+        self.latest: list[Reading] = []
+        """Readings that count, as of the last review."""
         self.ratio = Ratio(1.0, 0)
         self.relative = 1.0
 
@@ -247,9 +249,12 @@
     def __init__(self) -> None:
         self.servers: dict[ids.BackendId, Server] = {}
         self.reported: dict[
-            tuple[ids.EntryId, ids.Lifetime, str], messages.PaceSums
+            tuple[ids.EntryId, ids.Lifetime, str],
+            tuple[messages.PaceSums, float],
         ] = {}
+        """The last sums of each gateway on each server, and when they came."""
         self.reviewed_s = -math.inf
+        self.pruned_s = -math.inf
 
     def clear(self) -> None:
         """Forget everything, at the start of a leader's term."""
@@ -271,10 +276,10 @@
             lifetime = ids.Lifetime(head.backend, head.born_ms)
             key = (report.gateway, lifetime, head.group)
             known = self.reported.get(key)
-            self.reported[key] = head.pace
+            self.reported[key] = head.pace, now_s
             if known is None:
                 continue
-            reading = _difference(report.gateway, known, head.pace, now_s)
+            reading = _difference(report.gateway, known[0], head.pace, now_s)
             if reading is not None:
                 server.loads[report.gateway] = now_s, reading.load
                 server.readings.append(
@@ -356,26 +361,33 @@
         server.listed_s = now_s
 
     def _forget(self, now_s: float) -> None:
-        gone = [
-            backend
+        """Drop servers that are no longer listed, and gateways' old sums."""
+        if now_s - self.pruned_s < FORGET_S:
+            return
+        self.pruned_s = now_s
+        oldest_s = now_s - FORGET_S
+        self.servers = {
+            backend: server
             for backend, server in self.servers.items()
-            if now_s - server.listed_s > FORGET_S
-        ]
-        for backend in gone:
-            del self.servers[backend]
-        if len(self.reported) > 2 * len(self.servers) + 64:
-            self.reported = {
-                key: sums
-                for key, sums in self.reported.items()
-                if (server := self.servers.get(key[1].backend)) is not None
-                and server.identity == (key[2], key[1].born_ms)
+            if server.listed_s >= oldest_s
+        }
+        self.reported = {
+            key: (sums, at_s)
+            for key, (sums, at_s) in self.reported.items()
+            if at_s >= oldest_s
+        }
+        for server in self.servers.values():
+            server.loads = {
+                gateway: (at_s, load)
+                for gateway, (at_s, load) in server.loads.items()
+                if at_s >= oldest_s
             }
 
     def _decide(self, now_s: float, elapsed_s: float) -> None:
         by_kind: dict[tuple[ids.ServiceId, str], list[Server]] = {}
         for server in self.servers.values():
-            recent = server.recent(now_s)
-            server.ratio = _ratio(recent)
+            server.latest = server.recent(now_s)
+            server.ratio = _ratio(server.latest)
             by_kind.setdefault(server.service_model, []).append(server)
         for servers in by_kind.values():
             reference = _reference(server.ratio for server in servers)
@@ -549,11 +561,10 @@
 ) -> None:
     """Reduce the slots if the server is late with a heavy load only."""
     heavy_load = server.slots.count * HEAVY_FRACTION
-    recent = server.recent(now_s)
-    light = _ratio(each for each in recent if each.load <= heavy_load)
+    light = _ratio(each for each in server.latest if each.load <= heavy_load)
     if light.samples >= MIN_SAMPLES:
         server.light_ratio = light.value / reference
-    heavy_readings = [each for each in recent if each.load > heavy_load]
+    heavy_readings = [each for each in server.latest if each.load > heavy_load]
     heavy = _ratio(heavy_readings)
     if (
         server.light_ratio is None
--- a/tests/direct/test_pace.py
+++ b/tests/direct/test_pace.py
@@ -10,9 +10,12 @@
 
 from flamingocleat import ids
 from flamingocleat import messages
+from flamingocleat.process import learned_paces
 from flamingocleat.request import pace_samples
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import formation
+from flamingocleat.version import group as group_module
+from flamingocleat.version import groups
 from flamingocleat.version import pace
 from tests.direct import pace_load
 from tests.direct import vms
@@ -381,6 +384,18 @@
     assert found.reading_s == before
 
 
+def test_what_is_no_longer_reported_is_forgotten():
+    """Servers and gateways that are gone must not use memory for good."""
+    paces = pace.Paces()
+    feed(paces, [1.0, 1.0, 4.0], 3.0, 10)
+    later_s = 3.0 + 3 * pace.FORGET_S
+    paces.review(listed(1), later_s)
+    paces.review(listed(1), later_s + pace.FORGET_S)
+    assert set(paces.servers) == {"h-0"}
+    assert paces.reported == {}
+    assert paces.servers["h-0"].loads == {}
+
+
 # Measurement.
 
 
@@ -530,6 +545,51 @@
     assert fellow.pace == 1.0
 
 
+def test_reduced_slots_are_less_capacity():
+    """A model counts as short by the slots that its groups take well.
+
+    Gateways cannot use more, so that it would never count as short otherwise.
+    A VM that joined and started again since is not blamed for the group.
+    """
+    fleet = fleet_module.Fleet()
+    members = [vm(n) for n in range(4)]
+    for each in members:
+        fleet.announce(each.announcement, 0.0)
+    manager = groups.GroupManager(
+        groups.GroupManagerSettings(), ids.ServiceId("llm"), fleet, 1
+    )
+    manager.engine = vms.ENGINE
+    group = group_module.Group(
+        name="g-0",
+        epoch=ids.Epoch(1),
+        model="large",
+        members=tuple(each.announcement.backend for each in members),
+        head_address="vm-0:80",
+        phase=group_module.Phase.OPEN,
+        since_s=0.0,
+        lifetimes={ids.BackendId("vm-3"): ids.Lifetime("vm-3", 0)},
+    )
+    manager.groups["g-0"] = group
+    paces = pace.Paces()
+    heads = listed(3)
+    heads[0] = pace_load.replace(heads[0], backend="vm-0")
+    managers = {ids.ServiceId("llm"): manager}
+    learned_paces.apply(paces, heads, managers, fleet, 1.0)
+    assert manager.capacity(group) == 24
+    server = paces.servers["vm-0"]
+    server.is_slow, server.pace = True, 3.0
+    server.slots.decrease(12, 1.0)
+    server.slots.publish()
+    found = learned_paces.apply(paces, heads, managers, fleet, 1.1)
+    assert found[0].slots == manager.capacity(group) == 9
+    assert manager.declared_capacity(group) == 24
+    paces_of_members = [
+        fleet.backends[each.announcement.backend].pace for each in members
+    ]
+    assert paces_of_members[:3] == [2.0, 2.0, 2.0]
+    assert paces_of_members[3] == 1.0
+
+
 def test_slow_vms_become_spares_first():
     """A slow VM must not slow a group down while others can form it."""
     hosts = [vm(n) for n in range(5)]
