--- a/src/flamingocleat/version/pace.py
+++ b/src/flamingocleat/version/pace.py
@@ -404,12 +404,12 @@
         before = server.published, server.slots.count
         if reference is None:
             server.late_since_s = server.heavy_since_s = None
-            _decay(server, now_s)
+            _decay(server, now_s, elapsed_s)
             server.slots.grow(elapsed_s, now_s)
         else:
             server.relative = server.ratio.value / reference
             if server.is_slow:
-                _judge_slow(server, now_s)
+                _judge_slow(server, now_s, elapsed_s)
             else:
                 _judge_ordinary(server, now_s)
             _judge_slots(server, reference, now_s, elapsed_s)
@@ -525,9 +525,9 @@
         server.late_since_s = None
 
 
-def _judge_slow(server: Server, now_s: float) -> None:
+def _judge_slow(server: Server, now_s: float, elapsed_s: float) -> None:
     if not server.late_readings or server.ratio.samples < MIN_TRIAL_SAMPLES:
-        _decay(server, now_s)
+        _decay(server, now_s, elapsed_s)
         return
     server.late_readings = 0
     if server.relative < ORDINARY_RATIO:
@@ -543,14 +543,14 @@
     server.pace += PACE_SMOOTHING * (target - server.pace)
 
 
-def _decay(server: Server, now_s: float) -> None:
+def _decay(server: Server, now_s: float, elapsed_s: float) -> None:
     """Let the pace of a server without evidence return to 1."""
     held_s = now_s - server.slow_s - server.hold_s
     if not server.is_slow or held_s <= 0:
         return
     server.is_returning = True
     server.pace = 1 + (server.pace - 1) * math.exp(
-        -REVIEW_S / (server.hold_s / 2)
+        -elapsed_s / (server.hold_s / 2)
     )
     if server.pace < 1 + PUBLISHED_STEP:
         server.pace, server.is_slow = 1.0, False
--- a/tests/direct/test_pace.py
+++ b/tests/direct/test_pace.py
@@ -4,6 +4,7 @@
 same arrivals once with and once without what was learned.
 """
 
+import itertools
 import random
 
 import pytest
@@ -335,6 +336,32 @@
     assert paces.review(listed(3), 4.0) == tuple(listed(3))
 
 
+def test_without_evidence_a_server_is_tried_again():
+    """A slow server that gets no requests must not be left alone for good."""
+    paces = pace.Paces()
+    assert feed(paces, [1.0, 1.0, 4.0], 3.0, 10)[2].pace > 3
+    for step in range(40):
+        found = paces.review(listed(3), 3.0 + 0.2 * step)
+    assert found == tuple(listed(3))
+
+
+def test_each_failed_return_delays_the_next():
+    """A server that is slow for good must be tried less and less often."""
+    paces = pace.Paces()
+    now_s, waits_s = 0.0, []
+    for _ in range(4):
+        assert feed(paces, [1.0, 1.0, 4.0], 4.0, 10, from_s=now_s)[2].pace > 2
+        now_s += 4.0
+        begun_s = now_s
+        while paces.review(listed(3), now_s)[2].pace > 1:
+            now_s += 0.2
+        waits_s.append(now_s - begun_s)
+    assert waits_s[0] < 6
+    assert all(
+        later > 1.4 * wait for wait, later in itertools.pairwise(waits_s)
+    )
+
+
 def test_an_earlier_lifetime_or_group_says_nothing():
     """A server that starts again, or leads another group, starts afresh."""
     paces = pace.Paces()
@@ -444,6 +471,26 @@
     assert found.observed_ms == pytest.approx(found.expected_ms, rel=0.01)
 
 
+def test_one_stream_that_stood_still_counts_little():
+    """One gap of seconds must not outweigh the events of many streams."""
+    clock = Clock()
+    samples, request, meter = start_stream(clock)
+    gap_s = pace_samples.pass_s(vms.ENGINE, request.candidate)
+    meter.expected_first_s = 0.0
+    request.writing = True
+    for _ in range(100):
+        clock.now_s += gap_s
+        meter.record(clock.now_s, 1)
+        samples.collect()
+    for _ in range(40):
+        clock.now_s += 0.1
+        samples.collect()
+    meter.record(clock.now_s, 1)
+    samples.collect()
+    found = sums_of(samples, request)
+    assert found.observed_ms < 1.1 * found.expected_ms
+
+
 def test_a_paused_gateway_measures_nothing():
     """After a pause all answers look late, at every server."""
     clock = Clock()
