--- a/src/flamingocleat/process/capacity_metrics.py
+++ b/src/flamingocleat/process/capacity_metrics.py
@@ -11,6 +11,7 @@
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
 from flamingocleat.version import room
+from flamingocleat.version import pace as pace_module
 from flamingocleat.version import service_survey
 
 _log = logs.logger("coordinator")
@@ -47,6 +48,13 @@
     "flamingocleat_coordinator_room_reserved_vms",
     "VMs reserved for a change between models",
     ["service"],
+_SLOW_SERVERS = prometheus_client.Gauge(
+    "flamingocleat_coordinator_slow_servers",
+    "Servers that are slower than others of their service and model",
+)
+_REDUCED_SERVERS = prometheus_client.Gauge(
+    "flamingocleat_coordinator_reduced_servers",
+    "Servers that take fewer requests well than they declare",
 )
 _LOGGED_PHASES = (
     group_module.Phase.FORMING,
@@ -71,6 +79,12 @@
         _update_service(service, manager)
 
 
+def update_paces(paces: pace_module.Paces) -> None:
+    """Set the gauges of servers that differ from what they declare."""
+    _SLOW_SERVERS.set(sum(each.is_slow for each in paces.servers.values()))
+    _REDUCED_SERVERS.set(len(paces.reduced_slots()))
+
+
 def _update_service(
     service: ids.ServiceId, manager: groups_module.GroupManager
 ) -> None:
