--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -98,6 +98,8 @@
         self.folder = soak.folder / self.node
         self.folder.mkdir()
         self.bootstrap = True
+        self.limits = {"memoryMb": MEMORY_MB}
+        """Limits of its machine, in its settings."""
         self.process: asyncio.subprocess.Process | None = None
         self.last_fault_s = float("-inf")
         """When a fault was last injected."""
@@ -128,7 +130,7 @@
             "dataDir": str(data),
             "heartbeatMs": emulator.HEARTBEAT_INTERVAL_S * 1000,
             "bounds": {"stallMs": emulator.STALL_S * 1000, "graceS": 8},
-            "limits": {"memoryMb": MEMORY_MB},
+            "limits": self.limits,
         }
         path = self.folder / "boot.json"
         path.write_text(json.dumps(boot))
