Bound what callers make a gateway and a coordinator hold

Cause: bodies, pipelined bytes, unread answers and connections were bounded for each connection, if at all, never for all together; reading never paused.

connection/intake.py decides what may be held: small requests, large bodies and unread answers share an amount each, derived from the machine's memory, and connections are capped by memory and descriptors. Reading pauses where nothing is given. While others wait, requests that make no progress are refused with 408 or ended. Refusals are followed by a half-close and the discarding of what still arrives, so that callers can read them. Large bodies are forwarded and answers are written in pieces instead of copies. Pipelined requests take turns with those of other callers.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -8,14 +8,19 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import os
 import socket
 import struct
+import sys
 import time
 import typing
 
 import h11
+import prometheus_client
 
 from flamingocleat import errors
+from flamingocleat.connection import intake as intake_module
 from flamingocleat.process import logs
 from flamingocleat.version import catalog
 
@@ -25,8 +30,21 @@
 """Pairs of lower-case name and value."""
 
 _READ_BYTES = 65_536
-MAX_UNREAD_BYTES = 1_048_576
-"""Limit of pipelined bytes that are buffered while a request is served."""
+MAX_PIPELINED_BYTES = 16_384
+"""Pipelined bytes, buffered while a request is served, from which on no more
+are read."""
+WRITE_BUFFER_BYTES = 16_384
+"""Unsent bytes from which on a writer waits."""
+WRITE_PIECE_BYTES = 65_536
+"""Size of the pieces in which large bodies are written."""
+LINGER_S = 2.0
+"""Time for which a refused caller's bytes are read and discarded. If the
+connection were closed at once, the caller could lose the answer."""
+MAX_LINGER_BYTES = 8_388_608
+ACCEPTED_AT_ONCE = 16
+"""Connections that are accepted before the next are refused or ended."""
+ROOM_RETRY_AFTER_S = 1
+"""Retry-After of a request that found no room."""
 BODY_TIMEOUT_S = 30.0
 """Time within which a request's body must arrive."""
 WRITE_TIMEOUT_S = 30.0
@@ -46,6 +64,20 @@
 _RESET = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket resets its connection."""
 
+_HELD_BYTES = prometheus_client.Gauge(
+    "flamingocleat_http_held_bytes",
+    "Bytes that a server holds for its callers",
+    ["server"],
+)
+_CONNECTIONS = prometheus_client.Gauge(
+    "flamingocleat_http_connections", "Callers' connections", ["server"]
+)
+_REFUSED = prometheus_client.Counter(
+    "flamingocleat_http_refused",
+    "Connections refused or ended for lack of room",
+    ["server", "reason"],
+)
+
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -112,8 +144,11 @@
             status,
             [*headers, (b"content-length", str(len(body)).encode())],
         )
-        if body and self.method != b"HEAD":
-            await self.send(body)
+        if self.method != b"HEAD":
+            for first in range(0, len(body), WRITE_PIECE_BYTES):
+                self.connection.unsent_bytes = len(body) - first
+                await self.send(body[first : first + WRITE_PIECE_BYTES])
+        self.connection.unsent_bytes = 0
         await self.finish()
 
     def start(self, status: int, headers: Headers) -> None:
@@ -138,34 +173,64 @@
 Handler = collections.abc.Callable[[Exchange], collections.abc.Awaitable[None]]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A caller's connection; one task serves its requests in order."""
 
     def __init__(self, server: "Server") -> None:
         self.server = server
+        self.intake = server.intake
         self.http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=server.limits().max_header_bytes,
         )
         self.data_arrived = asyncio.Event()
+        self.admitted = asyncio.Event()
         self.write_resumed = asyncio.Event()
         self.write_resumed.set()
         self.idle = True
-        self.unread_bytes = 0
+        self.pipelined_bytes = 0
+        """Bytes that arrived while a request is served."""
+        self.unsent_bytes = 0
+        """Rest of an answer that is not yet in the write buffer."""
+        self.refusal: RefusedRequestError | None = None
+        """Why the request that is being read is refused, if it is."""
+        self.discarded_bytes = 0
+        self.is_discarding = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves requests."""
         self.transport = typing.cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         self.server.connections.add(self)
-        self.task = asyncio.get_running_loop().create_task(self._serve())
-
-    def data_received(self, data: bytes) -> None:
-        """Receive bytes; abort if the caller pipelines too many."""
-        self.unread_bytes += len(data)
-        if not self.idle and self.unread_bytes > MAX_UNREAD_BYTES:
-            self.abort()
+        account = self.intake.open(self)
+        self.account = account or intake_module.Account(self)
+        self.account.closed = self.is_discarding = account is None
+        work = self._serve() if account is not None else self._turn_away()
+        self.task = asyncio.get_running_loop().create_task(work)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return a buffer of the size that may be read now."""
+        buffer = self.server.read_buffer
+        if self.is_discarding:
+            return buffer
+        size = self.intake.readable(self.account)
+        if not size:
+            self.transport.pause_reading()
+        return buffer[: size or 1]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Receive bytes; pause if the caller pipelines too many."""
+        if self.is_discarding:
+            self.discarded_bytes += nbytes
+            if self.discarded_bytes > MAX_LINGER_BYTES:
+                self.transport.abort()
             return
-        self.http.receive_data(data)
+        self.http.receive_data(bytes(self.server.read_buffer[:nbytes]))
+        self.intake.received(self.account, nbytes)
+        if not self.idle:
+            self.pipelined_bytes += nbytes
+            if self.pipelined_bytes >= MAX_PIPELINED_BYTES:
+                self.transport.pause_reading()
         self.data_arrived.set()
 
     def eof_received(self) -> bool:
@@ -176,16 +241,46 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self.server.connections.discard(self)
+        self.intake.close(self.account)
         self.write_resumed.set()
         self.task.cancel()
 
     def pause_writing(self) -> None:
         """Pause writing, because the caller does not read."""
         self.write_resumed.clear()
+        self._count_unread()
 
     def resume_writing(self) -> None:
         """Resume writing, because the caller reads again."""
         self.write_resumed.set()
+        self._count_unread()
+
+    def _count_unread(self) -> None:
+        unread = self.transport.get_write_buffer_size() + self.unsent_bytes
+        self.intake.hold_answer(self.account, unread)
+
+    # Calls of the intake.
+
+    def resume(self) -> None:
+        """Read again, unless the caller has pipelined too many bytes."""
+        if self.account not in self.intake.queue and (
+            self.idle or self.pipelined_bytes < MAX_PIPELINED_BYTES
+        ):
+            self.transport.resume_reading()
+
+    def admit(self) -> None:
+        """Go on reading the body that waited for room."""
+        self.admitted.set()
+
+    def refuse(self, reason: intake_module.Reason) -> None:
+        """Refuse the request that is being read."""
+        self.refusal = RefusedRequestError(408, "the request does not arrive")
+        self.data_arrived.set()
+
+    def drop(self, reason: intake_module.Reason) -> None:
+        """End the connection at once."""
+        self.abort()
+        self.task.cancel()
 
     def write(self, event: h11.Event) -> None:
         """Send one h11 event."""
@@ -218,18 +313,38 @@
         finally:
             self.transport.close()
 
+    async def _turn_away(self) -> None:
+        """Refuse a connection for which there is no room."""
+        try:
+            if self.server.begin_refusing():
+                try:
+                    await self._refuse(_no_room("too many connections"))
+                finally:
+                    self.server.refusing -= 1
+            else:
+                self.transport.abort()
+        finally:
+            self.transport.close()
+
     async def _serve_next(self) -> bool:
         """Serve one request; return whether another may follow."""
         exchange = await self._read()
         if exchange is None:
             return False
         self.idle = False
-        self.unread_bytes = 0
+        self.refusal = None
+        self.pipelined_bytes = self._count_unparsed()
+        self.intake.set_held(
+            self.account, len(exchange.body) + self.pipelined_bytes
+        )
+        self.intake.enter(self.account, intake_module.Phase.SERVED)
         try:
-            await self.server.handle(exchange)
+            async with self.server.turn(len(exchange.body)):
+                await self.server.handle(exchange)
         finally:
             if not exchange.finished:
                 self.abort()
+        self._count_unread()
         if self.http.our_state is h11.MUST_CLOSE or self.server.draining:
             return False
         try:
@@ -237,26 +352,75 @@
         except h11.LocalProtocolError:
             return False
         self.idle = True
+        unparsed = self._count_unparsed()
+        self.intake.set_held(self.account, unparsed)
+        if unparsed:
+            self.intake.enter(self.account, intake_module.Phase.HEAD)
+            # Many pipelined requests must not keep other callers waiting.
+            await asyncio.sleep(0)
+        else:
+            self.intake.enter(self.account, intake_module.Phase.IDLE)
         return True
 
+    def _count_unparsed(self) -> int:
+        return len(self.http.trailing_data[0])
+
+    def _read_on(self) -> None:
+        """Read again after a pause, unless there is no room."""
+        if (
+            self.account not in self.intake.paused
+            and not self.transport.is_closing()
+        ):
+            self.transport.resume_reading()
+
     async def _read(self) -> Exchange | None:
         limits = self.server.limits()
         request = await self._read_head(limits)
         if request is None:
             return None
-        _check_framing(request)
-        if self.http.they_are_waiting_for_100_continue:
-            self.write(h11.InformationalResponse(status_code=100, headers=[]))
-        body = bytearray()
+        length = _check_framing(request)
+        if self.refusal is not None:
+            raise self.refusal
+        self.intake.enter(self.account, intake_module.Phase.BODY)
         async with asyncio.timeout(BODY_TIMEOUT_S):
+            if length > limits.max_body_bytes:
+                raise RefusedRequestError(413, "the body is too large")
+            if length > intake_module.FREE_BODY_BYTES:
+                await self._reserve(length)
+            if self.http.they_are_waiting_for_100_continue:
+                self.write(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            body = bytearray()
             while isinstance(event := await self._next_event(), h11.Data):
                 body += event.data
                 if len(body) > limits.max_body_bytes:
                     raise RefusedRequestError(413, "the body is too large")
+                if (
+                    len(body) > intake_module.FREE_BODY_BYTES
+                    and not self.account.reserved
+                ):
+                    # A body in chunks, whose length is not known.
+                    await self._reserve(
+                        limits.max_body_bytes + intake_module.LARGE_READ_BYTES
+                    )
         if not isinstance(event, h11.EndOfMessage):
             return None
         return Exchange(self, request, bytes(body))
 
+    async def _reserve(self, length: int) -> None:
+        """Wait until there is room for a body; raise if there is none."""
+        self.admitted.clear()
+        if self.intake.reserve(self.account, length):
+            return
+        self.transport.pause_reading()
+        try:
+            async with asyncio.timeout(intake_module.ROOM_WAIT_S):
+                await self.admitted.wait()
+        except TimeoutError as error:
+            self.intake.refused[intake_module.Reason.ROOM] += 1
+            raise _no_room("no room for the body") from error
+
     async def _read_head(self, limits: catalog.Limits) -> h11.Request | None:
         event = self.http.next_event()
         if event is h11.NEED_DATA and not self.http.trailing_data[0]:
@@ -276,7 +440,10 @@
 
     async def _wait_for_data(self) -> None:
         self.data_arrived.clear()
+        self._read_on()
         await self.data_arrived.wait()
+        if self.refusal is not None:
+            raise self.refusal
 
     async def _refuse(
         self, error: h11.RemoteProtocolError | RefusedRequestError
@@ -291,18 +458,36 @@
             self.abort()
             return
         body = f"{error}\n".encode()
-        self.write(
-            h11.Response(
-                status_code=status,
-                headers=[
-                    ("content-type", "text/plain"),
-                    ("content-length", str(len(body))),
-                    ("connection", "close"),
-                ],
-            )
-        )
+        headers = [
+            ("content-type", "text/plain"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+        ]
+        if status == 503:
+            headers.append(("retry-after", str(ROOM_RETRY_AFTER_S)))
+        self.write(h11.Response(status_code=status, headers=headers))
         self.write(h11.Data(data=body))
         self.write(h11.EndOfMessage())
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Discard what the caller still sends, until it has the answer."""
+        self.is_discarding = True
+        self.http = h11.Connection(h11.SERVER)
+        self.intake.release(self.account)
+        self.intake.enter(self.account, intake_module.Phase.REFUSED)
+        self.idle = True
+        if self.transport.is_closing():
+            return
+        self.transport.resume_reading()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        # The task is cancelled when the caller closes its end.
+        await asyncio.sleep(LINGER_S)
+
+
+def _no_room(reason: str) -> RefusedRequestError:
+    return RefusedRequestError(503, reason)
 
 
 class Server:
@@ -312,9 +497,32 @@
         self,
         handle: Handler,
         limits: collections.abc.Callable[[], catalog.Limits] = catalog.Limits,
+        settings: intake_module.Settings = intake_module.Settings(),  # noqa: B008
+        name: str = "",
+        *,
+        single_body_bytes: int = sys.maxsize,
     ) -> None:
         self.handle = handle
         self.limits = limits
+        self.name = name
+        """Names the server in metrics, if it is not empty."""
+        self.single_body_bytes = single_body_bytes
+        """Size of a body above which one request is handled at a time."""
+        self.intake = intake_module.Intake(settings, self._check_later)
+        self.report = intake_module.Report(self.intake)
+        self.read_buffer = memoryview(bytearray(intake_module.LARGE_READ_BYTES))
+        """Buffer of all connections; a read is consumed before the next."""
+        self.refusing = 0
+        """Connections that are refused since there are too many."""
+        self.large_turn = asyncio.Lock()
+        self.check_handle: asyncio.TimerHandle | None = None
+        if name:
+            _HELD_BYTES.labels(server=name).set_function(
+                lambda: self.intake.used
+            )
+            _CONNECTIONS.labels(server=name).set_function(
+                lambda: len(self.connections)
+            )
         self.connections: set[Connection] = set()
         self.draining = False
         """True if each answer should close its connection."""
@@ -326,13 +534,65 @@
         loop = asyncio.get_running_loop()
         if listener is not None:
             self.listener = await loop.create_server(
-                lambda: Connection(self), sock=listener, backlog=BACKLOG
+                lambda: Connection(self),
+                sock=listener,
+                backlog=ACCEPTED_AT_ONCE,
+            )
+        else:
+            host, _, port = address.rpartition(":")
+            self.listener = await loop.create_server(
+                lambda: Connection(self),
+                host,
+                int(port),
+                backlog=ACCEPTED_AT_ONCE,
             )
+        for transport_socket in self.listener.sockets:
+            # asyncio accepts as many at once as may wait to be accepted.
+            with socket.socket(fileno=os.dup(transport_socket.fileno())) as own:
+                own.listen(BACKLOG)
+
+    def begin_refusing(self) -> bool:
+        """Return whether a connection may stay open while it is refused."""
+        if self.refusing >= intake_module.REFUSING_CONNECTIONS:
+            return False
+        self.refusing += 1
+        return True
+
+    @contextlib.asynccontextmanager
+    async def turn(
+        self, body_bytes: int
+    ) -> collections.abc.AsyncIterator[None]:
+        """Wait until no other request with a large body is handled."""
+        if body_bytes <= self.single_body_bytes:
+            yield
             return
-        host, _, port = address.rpartition(":")
-        self.listener = await loop.create_server(
-            lambda: Connection(self), host, int(port), backlog=BACKLOG
-        )
+        async with self.large_turn:
+            yield
+
+    def _check_later(self) -> None:
+        """Check the progress of all connections while room is short."""
+        if self.check_handle is None:
+            self.check_handle = asyncio.get_running_loop().call_later(
+                intake_module.CHECK_INTERVAL_S, self._check
+            )
+
+    def _check(self) -> None:
+        self.check_handle = None
+        self.intake.check()
+        counts = self.report.due()
+        for reason, count in counts.items():
+            _REFUSED.labels(server=self.name, reason=reason).inc(count)
+        if counts:
+            logs.warning(
+                _log,
+                "callers_refused",
+                server=self.name,
+                held_bytes=self.intake.used,
+                connections=len(self.connections),
+                **counts,
+            )
+        if self.intake.is_pressed or self.report.is_pending:
+            self._check_later()
 
     def close_listener(self) -> None:
         """Accept no new connections."""
@@ -347,6 +607,8 @@
     async def close(self) -> None:
         """Abort all connections and wait until their tasks have ended."""
         self.close_listener()
+        if self.check_handle is not None:
+            self.check_handle.cancel()
         tasks = [each.task for each in self.connections]
         for connection in list(self.connections):
             connection.abort()
@@ -360,8 +622,11 @@
         return sum(not each.idle for each in self.connections)
 
 
-def _check_framing(request: h11.Request) -> None:
-    """Refuse framing that another server might interpret differently."""
+def _check_framing(request: h11.Request) -> int:
+    """Refuse framing that another server might interpret differently.
+
+    Returns the length of the body; 0 if it is not given.
+    """
     names = [name for name, _ in request.headers]
     if b"transfer-encoding" in names and b"content-length" in names:
         raise RefusedRequestError(
@@ -369,6 +634,8 @@
         )
     if names.count(b"host") != 1:
         raise RefusedRequestError(400, "there must be one Host header")
+    lengths = [v for name, v in request.headers if name == b"content-length"]
+    return int(lengths[0]) if lengths else 0
 
 
 class Answer(typing.NamedTuple):
@@ -401,6 +668,8 @@
         self.received_bytes = 0
         self.body_bytes = 0
         self.closed = False
+        self.sending: asyncio.Task[None] | None = None
+        """Writes the rest of a large body."""
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "Client":
@@ -426,13 +695,27 @@
             data = self.http.send(
                 h11.Request(method=method, target=target, headers=headers)
             )
-            if body:
-                data += self.http.send(h11.Data(data=body)) or b""
-            data += self.http.send(h11.EndOfMessage()) or b""
+            if len(body) <= WRITE_PIECE_BYTES:
+                if body:
+                    data += self.http.send(h11.Data(data=body)) or b""
+                data += self.http.send(h11.EndOfMessage()) or b""
+                self.writer.write(data)
+                return
             self.writer.write(data)
+            self.sending = asyncio.create_task(self._send_body(body))
         except (OSError, h11.LocalProtocolError) as error:
             raise BrokenAnswerError(f"cannot send: {error!r}") from error
 
+    async def _send_body(self, body: bytes) -> None:
+        """Write a large body in pieces, so that it is not copied whole."""
+        # The connection ends if this fails, which the reader reports.
+        with contextlib.suppress(OSError, h11.LocalProtocolError):
+            for first in range(0, len(body), WRITE_PIECE_BYTES):
+                piece = body[first : first + WRITE_PIECE_BYTES]
+                self.writer.write(self.http.send(h11.Data(data=piece)) or b"")
+                await self.writer.drain()
+            self.http.send(h11.EndOfMessage())
+
     async def answer(self) -> Answer:
         """Return the answer's status and headers; raise BrokenAnswerError."""
         for _ in range(MAX_INTERIM_ANSWERS):
@@ -468,6 +751,8 @@
         A read that waits, or that follows, raises BrokenAnswerError.
         """
         self.closed = True
+        if self.sending is not None:
+            self.sending.cancel()
         self.writer.transport.abort()
 
     async def _next_event(self) -> typing.Any:
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -20,6 +20,7 @@
 from flamingocleat.connection import codec
 from flamingocleat.connection import feed
 from flamingocleat.connection import http
+from flamingocleat.connection import intake
 from flamingocleat.connection import platform as platform_module
 from flamingocleat.process import capacity_metrics
 from flamingocleat.process import consensus as consensus_module
@@ -180,6 +181,9 @@
         self.http = http.Server(
             self._handle_call,
             lambda: catalog_module.Limits(max_body_bytes=MAX_DOCUMENT_BYTES),
+            intake.Settings.for_coordinator(settings),
+            "coordinator",
+            single_body_bytes=intake.SINGLE_BODY_BYTES,
         )
         self.tasks: set[asyncio.Task] = set()
         self.consensus.subscribe_applied(self._on_applied)
@@ -787,7 +791,7 @@
     """
     shutdown = shutdown_module.Shutdown()
     shutdown.install()
-    metrics = http.Server(gateway.answer_metrics)
+    metrics = http.Server(gateway.answer_metrics, settings=intake.SIDE_SETTINGS)
     settings = read_settings()
     if settings.metrics_listen:
         await metrics.start(settings.metrics_listen)
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -14,6 +14,7 @@
 from flamingocleat import messages
 from flamingocleat.connection import feed
 from flamingocleat.connection import http
+from flamingocleat.connection import intake
 from flamingocleat.process import logs
 from flamingocleat.process import settings as settings_module
 from flamingocleat.process import shutdown as shutdown_module
@@ -81,9 +82,18 @@
         self.forwarder.view_age_s = lambda: min(
             MAX_LOGGED_VIEW_AGE_S, time.monotonic() - self.subscriber.heard_s
         )
-        self.server = http.Server(self.forwarder.handle, self.forwarder.limits)
-        self.health = http.Server(self._answer_health)
-        self.metrics = http.Server(answer_metrics)
+        self.server = http.Server(
+            self.forwarder.handle,
+            self.forwarder.limits,
+            intake.Settings.for_gateway(settings),
+            "gateway",
+        )
+        self.health = http.Server(
+            self._answer_health, settings=intake.SIDE_SETTINGS
+        )
+        self.metrics = http.Server(
+            answer_metrics, settings=intake.SIDE_SETTINGS
+        )
         self.served = feed.ServedBackends()
         self.has_backends = False
         self.has_settled = False
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -123,6 +123,10 @@
     control: tuple[str, ...]
     """gRPC addresses of the voters to contact first."""
     budget: budget_module.BudgetSettings = budget_module.BudgetSettings()
+    memory_mb: float = 0.0
+    """Memory that this process may use, in MB; 0 if it is not limited."""
+    max_descriptors: int = 0
+    """File descriptors that it may open; 0 if they are not limited."""
     drain_notice_s: float = 3.0
     """Seconds after SIGTERM until the load balancer has noticed."""
     grace_s: float = 8.0
@@ -145,6 +149,8 @@
     """gRPC addresses of the initial voters, or of some voters to contact."""
     memory_mb: float = 0.0
     """Memory that this process may use, in MB; 0 if it is not limited."""
+    max_descriptors: int = 0
+    """File descriptors that it may open; 0 if they are not limited."""
     announce_interval_s: float = 1.2
     """Interval between announcements of a backend server."""
     stall_s: float = 4.0
