Keep the order of waiting bodies; test the intake and its server

Cause: a small reservation overtook a waiting larger one, found by a unit test. A large body could have waited until it was refused beside a stream of others.

The soak sends crowds.

--- a/src/flamingocleat/connection/intake.py
+++ b/src/flamingocleat/connection/intake.py
@@ -324,7 +324,7 @@
 
     def reserve(self, account: Account, count: int) -> bool:
         """Reserve room for a body; return False if it has to wait."""
-        if account.closed or self._grant(account, count):
+        if account.closed or (not self.queue and self._grant(account, count)):
             return True
         account.wanted = count
         self.queue[account] = None
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -22,6 +22,7 @@
 import h11
 
 from flamingocleat.connection import http
+from tests import crowds
 from tests.platform import emulator
 
 START_SCRIPT = (
@@ -58,6 +59,9 @@
 """Files that a coordinator writes in its first start, in this order."""
 FIRST_WRITES_S = 3.0
 """Time within which it writes them."""
+CROWD = 12
+"""Callers of a crowd, which together send more than a program may use."""
+CROWD_BODY_BYTES = 4_194_304
 LETHAL_CRASHES = 5
 MAX_LETHAL_ARRIVALS = 3
 """Requests with the lethal part that may reach engines later than CALM_S after
@@ -904,6 +908,21 @@
     await asyncio.sleep(0)
 
 
+@fault
+async def send_crowd(soak: Soak) -> None:
+    """Let a crowd of callers fill a gateway or coordinator.
+
+    The check of memory holds meanwhile, and calls of other callers go on.
+    """
+    program = soak.random.choice([*soak.coordinators, *soak.gateways])
+    port = FRONT_PORT if program.role == "gateway" else CONTROL_PORT
+    target = crowds.Target(program.ip, port, "/u/x", CROWD_BODY_BYTES)
+    caller = crowds.CALLERS[soak.random.choice(sorted(crowds.CALLERS))]
+    program.last_fault_s = time.monotonic()
+    await crowds.play(target, caller, CROWD, soak.random.uniform(1.0, 3.0))
+    program.last_fault_s = time.monotonic()
+
+
 async def run_seed(
     seed: int,
     duration_s: float,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -21,6 +21,7 @@
     "lose_leader_beside_late_announcements",
     "return_elsewhere",
     "grow_configuration",
+    "send_crowd",
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
