Bound what callers make an entry hold

Cause: threads read bodies of any number of callers whole, silent connections occupied threads and were not limited, and glibc kept the memory of each freed body in the arena of its thread.

Bodies above 64 KiB take room before they are read; those that do not arrive make way for others with 408; 503 if there is no room in 3 s. Connections are bounded by the settings' descriptors, the longest idle ones make way, and a thread is used only once bytes arrive. Refused callers get their answer before the connection is closed. Large blocks are returned to the system.

--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -6,11 +6,13 @@
 import contextlib
 import itertools
 import logging
+import socket
 import sys
 import threading
 import time
 import typing
 
+import cheroot.makefile
 import cheroot.server
 import cheroot.wsgi
 import cherrypy
@@ -19,12 +21,15 @@
 from flamingocleat import errors
 from flamingocleat import ids
 from flamingocleat import messages
+from flamingocleat.connection import bounded
 from flamingocleat.connection import watch
+from flamingocleat.process import allocator
 from flamingocleat.process import health
 from flamingocleat.process import logs
 from flamingocleat.process import settings
 from flamingocleat.process import shutdown
 from flamingocleat.request import attempt
+from flamingocleat.request import body_room
 from flamingocleat.request import call as call_module
 from flamingocleat.request import claim
 from flamingocleat.request import problem
@@ -40,6 +45,28 @@
 
 CONNECTIONS_PER_THREAD = 2
 
+HEAD_TIMEOUT_S = 10.0
+"""Time within which the head of a request must arrive, however slowly."""
+
+BODY_TIMEOUT_S = 120.0
+"""The same for the rest of a request."""
+
+DEFAULT_DESCRIPTORS = 4096
+"""Descriptors that are assumed if the settings give none."""
+
+OTHER_DESCRIPTORS = 64
+"""Descriptors that callers' connections leave unused: listeners, control, and
+connections that are being accepted."""
+
+MIN_CONNECTIONS = 8
+
+LINGER_S = 1.0
+"""Time for which a refused caller's bytes are read and discarded. If the
+connection were closed at once, the caller could lose the answer."""
+
+LINGER_THREADS_FRACTION = 1 / 8
+"""Part of the threads that may do so at once."""
+
 STACK_BYTES = 262_144
 """Stack size of a thread.
 
@@ -78,6 +105,7 @@
         """Return the WSGI environment, including the caller's connection."""
         environ: dict[str, typing.Any] = super().get_environ()
         request = self.req
+        environ["flamingocleat.connection"] = request.conn
         environ["flamingocleat.caller"] = relay.Caller(
             request.conn.socket, lambda: bool(request.chunked_write)
         )
@@ -106,6 +134,55 @@
         )
         self.entry = entry
         self.ConnectionClass = _Connection
+        descriptors = entry_settings.max_descriptors or DEFAULT_DESCRIPTORS
+        # A request needs the caller's connection and one to the agent.
+        self.max_connections = max(
+            MIN_CONNECTIONS,
+            descriptors
+            - OTHER_DESCRIPTORS
+            - min(entry_settings.threads, descriptors // 2),
+        )
+        self.open_connections: set[_Connection] = set()
+        self.connections_lock = threading.Lock()
+        self.lingering = threading.BoundedSemaphore(
+            max(1, round(entry_settings.threads * LINGER_THREADS_FRACTION))
+        )
+
+    def process_conn(self, conn: "_Connection") -> None:
+        """Pass a connection with bytes to a thread; keep others waiting.
+
+        A new connection that sends nothing occupies no thread.
+        """
+        if conn.last_used is not None:
+            super().process_conn(conn)
+            return
+        with self.connections_lock:
+            count = len(self.open_connections)
+        if count > self.max_connections and not self._end_idle():
+            self.entry.refusals.record("connections", connections=count)
+            conn.close()
+            return
+        self.put_conn(conn)
+
+    def _end_idle(self) -> bool:
+        """End the connection that has waited longest; False if none does.
+
+        Runs in the thread that selects connections, as `process_conn` does for
+        new ones.
+        """
+        selector = typing.cast(typing.Any, self)._connections._selector
+        idle = [
+            (each.last_used, number, each)
+            for number, each in selector.connections
+            if each is not self
+        ]
+        if not idle:
+            return False
+        _, number, oldest = min(idle, key=lambda each: each[:2])
+        selector.unregister(number)
+        oldest.close()
+        self.entry.refusals.record("connections")
+        return True
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -164,6 +241,17 @@
     request_numbers = itertools.count(1)
     header_reader = _HeaderReader()
 
+    def parse_request(self) -> None:
+        """Read the head of a request, within its time limit."""
+        self._bound_reads(HEAD_TIMEOUT_S)
+        super().parse_request()
+        self._bound_reads(BODY_TIMEOUT_S)
+
+    def _bound_reads(self, duration_s: float) -> None:
+        # A deadline that is near shortens the timeout of the socket.
+        self.conn.socket.settimeout(self.server.timeout)
+        self.conn.socket.bound(time.monotonic() + duration_s, float("inf"))
+
     def read_request_headers(self) -> bool:
         """Read the headers; close the connection if they are rejected."""
         accepted = bool(super().read_request_headers())
@@ -186,7 +274,42 @@
 
 
 class _Connection(cheroot.server.HTTPConnection):
+    """Caller's connection, which is counted from its start to its end."""
+
     RequestHandlerClass = _Request
+    was_refused = False
+    """Whether the rest of the body was not read."""
+
+    def __init__(
+        self,
+        server: Server,
+        sock: socket.socket,
+        makefile: typing.Any = cheroot.makefile.MakeFile,
+    ) -> None:
+        super().__init__(server, bounded.BoundedSocket.replace(sock), makefile)
+        with server.connections_lock:
+            server.open_connections.add(self)
+
+    def close(self) -> None:
+        """Close the connection, after a refusal once the caller has it."""
+        with self.server.connections_lock:
+            self.server.open_connections.discard(self)
+        if self.was_refused and self.server.lingering.acquire(blocking=False):
+            try:
+                self._discard()
+            finally:
+                self.server.lingering.release()
+        super().close()
+
+    def _discard(self) -> None:
+        """Read and discard what the caller still sends, for a while."""
+        end_s = time.monotonic() + LINGER_S
+        buffer = bytearray(relay.READ_BYTES)
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.bound(end_s, float("inf"))
+            while self.socket.recv_into(buffer):
+                pass
 
 
 class Entry:
@@ -204,6 +327,8 @@
         self.backends = backends
         self.shutdown = stop
         self.budget = attempt.Budget(entry_settings.retry_budget_ratio)
+        self.refusals = body_room.Refusals()
+        self.room = body_room.Room(entry_settings.memory_mb, self.refusals)
         self.stream_relay = stream_relay.StreamRelay()
         self.register = claim.Register(control, stop.loop)
         self.admission = shares.FairAdmission(_EMPTY_CONFIGURATION, 1)
@@ -252,7 +377,10 @@
         if path in _HEALTH_PATHS:
             status, content_type, body = self.health.page(path)
             return _respond(status, {"Content-Type": content_type}, body)
-        request = _request(environ)
+        caller: relay.Caller = environ["flamingocleat.caller"]
+        share = self.room.open(lambda how: _end(caller.socket, how))
+        cherrypy.serving.request.hooks.attach("on_end_request", share.release)
+        request = _request(environ, share)
         request_ids = call_module.request_ids(request.headers)
         headers: dict[str, str] = {"X-Request-Id": request_ids[0]}
         try:
@@ -263,6 +391,7 @@
             headers.update(error.headers())
             # The rest of a refused request's body is not read.
             headers["Connection"] = "close"
+            environ["flamingocleat.connection"].was_refused = True
             logs.info(
                 _log,
                 "call_refused",
@@ -285,6 +414,7 @@
                 request=request_ids[1],
                 status=answer.status,
             )
+            share.hold_answer(len(answer.body))
             if answer.content_type:
                 headers["Content-Type"] = answer.content_type
             return _respond(answer.status, headers, answer.body)
@@ -400,6 +530,7 @@
         return 0
     logs.set_up("entry", entry_settings.log_level)
     threading.stack_size(STACK_BYTES)
+    allocator.return_large_blocks()
     return asyncio.run(run(entry_settings))
 
 
@@ -449,7 +580,15 @@
     return ""
 
 
-def _request(environ: dict[str, typing.Any]) -> call_module.Request:
+def _end(sock: socket.socket, how: int) -> None:
+    """Let the thread that reads from, or writes to, a caller go on."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(how)
+
+
+def _request(
+    environ: dict[str, typing.Any], share: body_room.Share
+) -> call_module.Request:
     headers = {
         name[5:].replace("_", "-").lower(): value
         for name, value in environ.items()
@@ -464,6 +603,7 @@
         headers,
         environ["wsgi.input"],
         environ["wsgi.input_terminated"],
+        share,
     )
 
 
--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -53,6 +53,10 @@
     """HTTP address for callers, host:port."""
     control: tuple[str, ...]
     """gRPC addresses of control."""
+    memory_mb: float = 0.0
+    """Memory that this process may use, in MB; 0 stands for 512."""
+    max_descriptors: int = 0
+    """File descriptors that it may open; 0 stands for 4096."""
     threads: int = 640
     """Requests served concurrently; the design load needs about 530."""
     subset_size: int = 16
--- a/src/flamingocleat/request/call.py
+++ b/src/flamingocleat/request/call.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from flamingocleat import ids
+from flamingocleat.request import body_room
 from flamingocleat.request import problem
 from flamingocleat.version import schema
 
@@ -76,6 +77,8 @@
     headers: collections.abc.Mapping[str, str]
     body: Reader
     chunked: bool = False
+    share: body_room.Share | None = None
+    """The room that its body takes; None if that is not bounded."""
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
@@ -259,20 +262,44 @@
         raise problem.malformed("Content-Length is not a number")
     if not request.chunked and int(length) > limit:
         raise _too_large(limit)
-    if request.chunked:
-        try:
-            body = request.body.read(limit + 1)
-        except ValueError as error:
-            raise problem.malformed(f"chunked body: {error}") from error
-    else:
-        body = request.body.read(int(length))
-        if len(body) < int(length):
-            raise problem.malformed("the body is shorter than announced")
+    share = request.share
+    if share is not None:
+        share.take(
+            limit * body_room.CHUNKED_FACTOR if request.chunked else int(length)
+        )
+    size = limit + 1 if request.chunked else int(length)
+    try:
+        body = _read_pieces(request.body, size, share)
+    except ValueError as error:
+        raise problem.malformed(f"chunked body: {error}") from error
+    if share is not None:
+        share.keep(len(body))
+        if share.is_ended and (request.chunked or len(body) < size):
+            raise problem.Problem(
+                408, "Request timeout", "the body does not arrive"
+            )
+    if not request.chunked and len(body) < size:
+        raise problem.malformed("the body is shorter than announced")
     if len(body) > limit:
         raise _too_large(limit)
     return body
 
 
+def _read_pieces(
+    reader: Reader, size: int, share: body_room.Share | None
+) -> bytes:
+    """Return up to `size` bytes, read without copies of the whole body."""
+    body = bytearray()
+    while len(body) < size:
+        piece = reader.read(min(body_room.PIECE_BYTES, size - len(body)))
+        if not piece:
+            break
+        body += piece
+        if share is not None:
+            share.record_progress()
+    return bytes(body)
+
+
 def _too_large(limit: int) -> problem.Problem:
     return problem.Problem(
         413, "Request too large", f"the body may have {limit} bytes"
--- a/tests/system/test_hostile_entry.py
+++ b/tests/system/test_hostile_entry.py
@@ -11,7 +11,6 @@
 import pytest
 import urllib3
 
-from flamingocleat.process import settings
 from tests import crowds
 from tests.system import scenario
 from tests.system import workload
@@ -49,10 +48,8 @@
     caller = scenario.start(
         deployment, _configuration(), engines=0, plain=1, entries=0
     )
-    known = settings.EntrySettings.__struct_fields__
-    limits = {key: LIMITS[key] for key in LIMITS if key in known}
     entry = deployment.add_entry(
-        "entry-0", workload.DATA_CENTRES[0], threads=THREADS, **limits
+        "entry-0", workload.DATA_CENTRES[0], threads=THREADS, **LIMITS
     )
     scenario.wait_until_serving(deployment, 0, 1)
     process = deployment.entries["entry-0"]
