--- a/src/flamingocleat/process/settings.py
+++ b/src/flamingocleat/process/settings.py
@@ -54,6 +54,10 @@
     """HTTP address for callers, host:port."""
     control: tuple[str, ...]
     """gRPC addresses of control."""
+    memory_mb: float = 0.0
+    """Memory that this process may use, in MB; 0 stands for 512."""
+    max_descriptors: int = 0
+    """File descriptors that it may open; 0 stands for 4096."""
     threads: int = 640
     """Requests served concurrently; the design load needs about 530."""
     subset_size: int = 16
@@ -126,6 +130,10 @@
     budget: budget_module.BudgetSettings = budget_module.BudgetSettings()
     cold: cold_module.ColdBounds = cold_module.ColdBounds()
     """How far the rate of cold servers may be exceeded in one second."""
+    memory_mb: float = 0.0
+    """Memory that this process may use, in MB; 0 if it is not limited."""
+    max_descriptors: int = 0
+    """File descriptors that it may open; 0 if they are not limited."""
     drain_notice_s: float = 3.0
     """Seconds after SIGTERM until the load balancer has noticed."""
     grace_s: float = 8.0
@@ -148,6 +156,8 @@
     """gRPC addresses of the initial voters, or of some voters to contact."""
     memory_mb: float = 0.0
     """Memory that this process may use, in MB; 0 if it is not limited."""
+    max_descriptors: int = 0
+    """File descriptors that it may open; 0 if they are not limited."""
     announce_interval_s: float = 1.2
     """Interval between announcements of a backend server."""
     stall_s: float = 4.0
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -22,6 +22,7 @@
 import h11
 
 from flamingocleat.connection import http
+from tests import crowds
 from tests.platform import emulator
 
 START_SCRIPT = (
@@ -66,6 +67,9 @@
 """Files that a coordinator writes in its first start, in this order."""
 FIRST_WRITES_S = 3.0
 """Time within which it writes them."""
+CROWD = 12
+"""Callers of a crowd, which together send more than a program may use."""
+CROWD_BODY_BYTES = 4_194_304
 LETHAL_CRASHES = 5
 CROWD = 30
 """Callers that wait while engines return; they would fill all slots at once."""
@@ -109,6 +113,8 @@
         self.folder = soak.folder / self.node
         self.folder.mkdir()
         self.bootstrap = True
+        self.limits = {"memoryMb": MEMORY_MB}
+        """Limits of its machine, in its settings."""
         self.process: asyncio.subprocess.Process | None = None
         self.last_fault_s = float("-inf")
         """When a fault was last injected."""
@@ -147,6 +153,8 @@
                 "coldSlack": emulator.COLD_SLACK,
             },
             "limits": {"memoryMb": MEMORY_MB},
+            "bounds": {"stallMs": emulator.STALL_S * 1000, "graceS": 8},
+            "limits": self.limits,
         }
         path = self.folder / "boot.json"
         path.write_text(json.dumps(boot))
@@ -1110,6 +1118,18 @@
         )
     await soak.order_evacuation("Finish", data_centre)
     soak.is_evacuating = False
+async def send_crowd(soak: Soak) -> None:
+    """Let a crowd of callers fill a gateway or coordinator.
+
+    The check of memory holds meanwhile, and calls of other callers go on.
+    """
+    program = soak.random.choice([*soak.coordinators, *soak.gateways])
+    port = FRONT_PORT if program.role == "gateway" else CONTROL_PORT
+    target = crowds.Target(program.ip, port, "/u/x", CROWD_BODY_BYTES)
+    caller = crowds.CALLERS[soak.random.choice(sorted(crowds.CALLERS))]
+    program.last_fault_s = time.monotonic()
+    await crowds.play(target, caller, CROWD, soak.random.uniform(1.0, 3.0))
+    program.last_fault_s = time.monotonic()
 
 
 async def run_seed(
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -25,6 +25,7 @@
     "evacuate",
     "return_together",
     "burst",
+    "send_crowd",
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
