--- a/src/flamingocleat/process/capacity_metrics.py
+++ b/src/flamingocleat/process/capacity_metrics.py
@@ -10,8 +10,8 @@
 from flamingocleat.version import demand as demand_module
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
-from flamingocleat.version import room
 from flamingocleat.version import pace as pace_module
+from flamingocleat.version import room
 from flamingocleat.version import service_survey
 
 _log = logs.logger("coordinator")
@@ -48,6 +48,7 @@
     "flamingocleat_coordinator_room_reserved_vms",
     "VMs reserved for a change between models",
     ["service"],
+)
 _SLOW_SERVERS = prometheus_client.Gauge(
     "flamingocleat_coordinator_slow_servers",
     "Servers that are slower than others of their service and model",
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -331,7 +331,6 @@
         now_s = time.monotonic()
         self.demand.record(report, now_s)
         self.cold_servers.record_report(report, now_s)
-        self.demand.record(report)
         self.paces.record(report, now_s)
         for manager in self.managers.values():
             manager.has_traffic = manager.has_traffic or report.requests > 0
@@ -587,7 +586,6 @@
                         msgspec.structs.replace(
                             _to_served_backend(head.announcement),
                             slots=min(
-                                head.announcement.slots, manager.slots(group)
                                 head.announcement.slots,
                                 manager.declared_capacity(group),
                             ),
@@ -597,10 +595,11 @@
                         )
                     )
         served.sort(key=lambda each: each.backend)
-        return self.cold_servers.mark(
+        marked = self.cold_servers.mark(
             served, self.catalog, self.fleet, now_s, is_complete=self.settled
+        )
         return learned_paces.apply(
-            self.paces, served, self.managers, self.fleet, now_s
+            self.paces, marked, self.managers, self.fleet, now_s
         )
 
     # HTTP calls from operators and backend servers.
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -67,7 +67,7 @@
 """Files that a coordinator writes in its first start, in this order."""
 FIRST_WRITES_S = 3.0
 """Time within which it writes them."""
-CROWD = 12
+HOSTILE_CROWD = 12
 """Callers of a crowd, which together send more than a program may use."""
 CROWD_BODY_BYTES = 4_194_304
 LETHAL_CRASHES = 5
@@ -152,8 +152,6 @@
                 "coldOvershoot": emulator.COLD_OVERSHOOT,
                 "coldSlack": emulator.COLD_SLACK,
             },
-            "limits": {"memoryMb": MEMORY_MB},
-            "bounds": {"stallMs": emulator.STALL_S * 1000, "graceS": 8},
             "limits": self.limits,
         }
         path = self.folder / "boot.json"
@@ -1118,6 +1116,8 @@
         )
     await soak.order_evacuation("Finish", data_centre)
     soak.is_evacuating = False
+
+
 async def send_crowd(soak: Soak) -> None:
     """Let a crowd of callers fill a gateway or coordinator.
 
@@ -1128,7 +1128,9 @@
     target = crowds.Target(program.ip, port, "/u/x", CROWD_BODY_BYTES)
     caller = crowds.CALLERS[soak.random.choice(sorted(crowds.CALLERS))]
     program.last_fault_s = time.monotonic()
-    await crowds.play(target, caller, CROWD, soak.random.uniform(1.0, 3.0))
+    await crowds.play(
+        target, caller, HOSTILE_CROWD, soak.random.uniform(1.0, 3.0)
+    )
     program.last_fault_s = time.monotonic()
 
 
