--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -21,6 +21,7 @@
 
 from flamingocleat import errors
 from flamingocleat.connection import intake as intake_module
+from flamingocleat.connection import listener as listeners
 from flamingocleat.process import logs
 from flamingocleat.version import catalog
 
@@ -207,6 +208,8 @@
         self.account.closed = self.is_discarding = account is None
         work = self._serve() if account is not None else self._turn_away()
         self.task = asyncio.get_running_loop().create_task(work)
+        if self.server.closed:
+            self.transport.abort()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return a buffer of the size that may be read now."""
@@ -524,6 +527,8 @@
                 lambda: len(self.connections)
             )
         self.connections: set[Connection] = set()
+        self.closed = False
+        """Whether connections that are set up from now on are aborted."""
         self.draining = False
         """True if each answer should close its connection."""
 
@@ -596,7 +601,7 @@
 
     def close_listener(self) -> None:
         """Accept no new connections."""
-        self.listener.close()
+        listeners.close_soon(self.listener, self.listener.close)
 
     def close_idle(self) -> None:
         """Close connections on which no request is being served."""
@@ -606,6 +611,7 @@
 
     async def close(self) -> None:
         """Abort all connections and wait until their tasks have ended."""
+        self.closed = True
         self.close_listener()
         if self.check_handle is not None:
             self.check_handle.cancel()
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,6 +1,7 @@
 """Tests of channels whose connection closes during a call."""
 
 import asyncio
+import contextlib
 import gc
 import types
 
@@ -11,6 +12,7 @@
 from flamingocleat.connection import channel
 from flamingocleat.connection import codec
 from flamingocleat.connection import grpc_errors
+from flamingocleat.connection import http
 from flamingocleat.connection import watch
 from tests import entry_fakes as fakes
 from tests import streams
@@ -140,7 +142,25 @@
     assert asyncio.run(scenario()) >= 3
 
 
-def test_connection_that_is_accepted_as_its_server_closes_is_ended():
+async def _start_http(address):
+    server = http.Server(lambda _exchange: asyncio.sleep(0))
+    await server.start(address)
+    return server.listener, server.close
+
+
+async def _start_grpc(address):
+    server = channel.Server([])
+    host, _, port = address.rpartition(":")
+    await server.start(host, int(port))
+
+    async def close():
+        server.close()
+
+    return server._server, close
+
+
+@pytest.mark.parametrize("start", [_start_http, _start_grpc])
+def test_connection_that_is_accepted_as_its_server_closes_is_ended(start):
     """Guards against a transport that nobody closes after a voter stopped.
 
     The server is closed in the step of the event loop that accepts the
@@ -149,22 +169,28 @@
 
     async def run():
         loop = asyncio.get_running_loop()
-        server = channel.Server([])
+        closing = []
         accept = loop._accept_connection
 
         def accept_and_close(*args):
             accept(*args)
-            server.close()
+            # Runs until its first wait in this step.
+            with contextlib.suppress(StopIteration):
+                steps = close().__await__()
+                closing.append(steps)
+                next(steps)
 
         loop._accept_connection = accept_and_close
-        await server.start("127.0.0.1", 0)
-        address = server._server.sockets[0].getsockname()
+        listener, close = await start("127.0.0.1:0")
+        address = listener.sockets[0].getsockname()
         reader, writer = await asyncio.open_connection(*address)
         async with asyncio.timeout(10):
-            while await reader.read(1024):
-                pass
+            with contextlib.suppress(ConnectionResetError):
+                while await reader.read(1024):
+                    pass
         writer.close()
-        await writer.wait_closed()
+        with contextlib.suppress(ConnectionResetError):
+            await writer.wait_closed()
 
     asyncio.run(run())
     gc.collect()
