Wait as usual before slow groups once requests have moved

A model with open groups in an evacuated data centre was short as soon as its other groups were nearly full, for the whole evacuation. That is now so only while requests are in flight there.

Measured: tests/direct/test_evacuated_groups.py and test_groups.py pass.

--- a/src/flamingocleat/version/service_survey.py
+++ b/src/flamingocleat/version/service_survey.py
@@ -78,10 +78,12 @@
             self.capacity[group.model] += capacity(group)
             self.in_flight[group.model] += in_flight.get(group.head, 0)
         self.moving_models: set[str] = set()
-        """Models whose requests have to move out of evacuated data centres."""
+        """Models with requests in flight in evacuated data centres, whose
+        successors have to be served elsewhere."""
         for group, _ in evacuation.standby(groups):
-            self.in_flight[group.model] += in_flight.get(group.head, 0)
-            self.moving_models.add(group.model)
+            if moving := in_flight.get(group.head, 0):
+                self.in_flight[group.model] += moving
+                self.moving_models.add(group.model)
         taken = {member for group in groups for member in group.members}
         ungrouped = [
             e for e in self.usable if e.announcement.backend not in taken
--- a/tests/direct/test_evacuated_groups.py
+++ b/tests/direct/test_evacuated_groups.py
@@ -102,6 +102,8 @@
     assert uses[service_survey.VmUse.LOST] == 0
     region.manager.step(region.now_s)
     assert "large" in region.manager.short_models
+    region.manager.in_flight.clear()
+    assert not region.manager.survey(region.now_s).moving_models
 
 
 def test_groups_that_are_forming_there_are_abandoned():
