Hold servers cold for longer without a leader, and divide at each review

A gateway that lost the leader could count a cold time down before the leader counted its share: the margin was 1 s, and must cover the time until a gateway counts as absent, a late correction, and a grant with its second. The division of the rate also runs at each review, so that few gateways need not wait for the next interval; a reload applies new bounds.

--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -219,6 +219,7 @@
         """Apply new seeds and limits; new addresses need a restart."""
         self.settings = settings
         self.voters.settings = settings
+        self.grants.bounds = settings.cold
 
     async def stop(self) -> None:
         """Finish pending requests and stop."""
--- a/src/flamingocleat/version/cold.py
+++ b/src/flamingocleat/version/cold.py
@@ -188,6 +188,7 @@
                 self.servers[backend].allotted.clear()
                 self.servers[backend].per_s = 0.0
         _COLD_SERVERS.set(len(cold))
+        self.allot(now_s)
 
     def record_report(
         self, report: messages.GatewayReport, now_s: float
--- a/src/flamingocleat/version/cold_servers.py
+++ b/src/flamingocleat/version/cold_servers.py
@@ -17,11 +17,18 @@
 """An announcement counts as made after a server was listed if it arrives this
 much later. Announcements name no time; usually they travel for 3 ms, or 0.2 s
 more after a lost packet."""
-HOLD_S = 1.0
-"""Added to the cold time that gateways are told. They normally learn from a
-view that a server is warm; without a leader they go by this time."""
 RETELL_S = 0.5
 """Gateways are told a new cold time if it differs by more than this."""
+HOLD_S = (
+    RETELL_S
+    + cold_module.ABSENT_AFTER_S
+    + cold_module.GRANT_LIFE_S
+    + cold_module.WINDOW_S
+)
+"""Added to the cold time that gateways are told. They normally learn from a
+view that a server is warm. One that has lost the leader goes by this time; the
+leader has then counted what that gateway may send for long enough that no
+earlier grant falls into the same second."""
 
 
 class _Status(msgspec.Struct):
