--- a/src/flamingocleat/version/formation.py
+++ b/src/flamingocleat/version/formation.py
@@ -244,6 +244,8 @@
         if len(free) < model.size:
             continue
         chosen = free[: model.size]
+        if _slowest(chosen) <= 0:
+            return chosen
         if not found or _slowest(chosen) < _slowest(found):
             found = chosen
     return found
