Drop a request's body when the request ends

Cause: errors whose frames refer to each other, such as a refusal with 404, kept the body until the garbage collector ran, which does not count bytes. The crowd of the soak has no ids, so it is sent where no route leads to a server: the emulator tells runs apart by ids.

The server drops the body at the end of its request, and the buffer of a body that is not read whole.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -342,6 +342,9 @@
             async with self.server.turn(len(exchange.body)):
                 await self.server.handle(exchange)
         finally:
+            # Errors whose frames refer to the exchange live until the garbage
+            # collector finds them, which does not count the bytes of a body.
+            exchange.body = b""
             if not exchange.finished:
                 self.abort()
         self._count_unread()
@@ -382,6 +385,19 @@
         if self.refusal is not None:
             raise self.refusal
         self.intake.enter(self.account, intake_module.Phase.BODY)
+        body = bytearray()
+        try:
+            if not await self._read_body(body, length, limits):
+                return None
+            return Exchange(self, request, bytes(body))
+        finally:
+            # See `_serve_next`.
+            body.clear()
+
+    async def _read_body(
+        self, body: bytearray, length: int, limits: catalog.Limits
+    ) -> bool:
+        """Read a body; return False if the connection ended before it did."""
         async with asyncio.timeout(BODY_TIMEOUT_S):
             if length > limits.max_body_bytes:
                 raise RefusedRequestError(413, "the body is too large")
@@ -391,7 +407,6 @@
                 self.write(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
-            body = bytearray()
             while isinstance(event := await self._next_event(), h11.Data):
                 body += event.data
                 if len(body) > limits.max_body_bytes:
@@ -404,9 +419,7 @@
                     await self._reserve(
                         limits.max_body_bytes + intake_module.LARGE_READ_BYTES
                     )
-        if not isinstance(event, h11.EndOfMessage):
-            return None
-        return Exchange(self, request, bytes(body))
+        return isinstance(event, h11.EndOfMessage)
 
     async def _reserve(self, length: int) -> None:
         """Wait until there is room for a body; raise if there is none."""
--- a/tests/direct/test_http_intake.py
+++ b/tests/direct/test_http_intake.py
@@ -250,3 +250,29 @@
             writer.transport.abort()
 
     run(scenario)
+
+
+def test_body_does_not_live_on_in_errors():
+    """Guards against bodies that wait for the garbage collector.
+
+    An error refers to the frames that it passed through. In a cycle it lives
+    until the collector runs, which does not count the bytes that it holds: a
+    gateway of 120 MB held 460 MB of refused bodies.
+    """
+    errors = []
+
+    async def scenario(harness):
+        async def refuse(exchange):
+            try:
+                raise ValueError(len(exchange.body))
+            except ValueError as error:
+                errors.append(error)
+            await exchange.respond(404, [])
+
+        harness.server.handle = refuse
+        assert b" 404 " in await harness.send(*whole(LARGE))
+
+    run(scenario)
+    assert errors[0].args == (len(LARGE),)
+    frame = errors[0].__traceback__.tb_frame
+    assert frame.f_locals["exchange"].body == b""
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -912,11 +912,13 @@
 async def send_crowd(soak: Soak) -> None:
     """Let a crowd of callers fill a gateway or coordinator.
 
-    The check of memory holds meanwhile, and calls of other callers go on.
+    The check of memory holds meanwhile, and calls of other callers go on. The
+    crowd's requests have no ids by which their runs could be told apart, so no
+    route leads them to a server.
     """
     program = soak.random.choice([*soak.coordinators, *soak.gateways])
     port = FRONT_PORT if program.role == "gateway" else CONTROL_PORT
-    target = crowds.Target(program.ip, port, "/u/x", CROWD_BODY_BYTES)
+    target = crowds.Target(program.ip, port, "/none", CROWD_BODY_BYTES)
     caller = crowds.CALLERS[soak.random.choice(sorted(crowds.CALLERS))]
     program.last_fault_s = time.monotonic()
     await crowds.play(target, caller, CROWD, soak.random.uniform(1.0, 3.0))
