End connections whose channel is closed while they are opened

Cause: grpclib closes a channel's connection only if it is open already. The new test fails without the fix.

--- a/src/flamingocleat/connection/channel.py
+++ b/src/flamingocleat/connection/channel.py
@@ -63,6 +63,26 @@
 class Channel(grpclib.client.Channel):
     """Channel on which a closing connection terminates its streams."""
 
+    closed = False
+
+    def close(self) -> None:
+        """End the connection, also one that is being opened."""
+        self.closed = True
+        super().close()
+
+    async def __connect__(self) -> grpclib.protocol.H2Protocol:
+        """Return an open connection.
+
+        Raises:
+            StreamTerminatedError: The channel was closed meanwhile.
+        """
+        protocol = await super().__connect__()
+        if self.closed:
+            # Closing found no connection yet, and nobody else would end it.
+            super().close()
+            raise grpclib.exceptions.StreamTerminatedError("channel is closed")
+        return protocol
+
     def request(self, *args: typing.Any, **kwargs: typing.Any) -> _Stream:
         """Return a stream for one call."""
         stream = super().request(*args, **kwargs)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -194,3 +194,23 @@
 
     asyncio.run(run())
     gc.collect()
+
+
+def test_channel_that_is_closed_while_it_connects_leaves_no_connection():
+    """Guards against a connection that is opened after its channel's end."""
+
+    async def run():
+        server = channel.Server([])
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        grpc_channel = channel.dial(f"127.0.0.1:{port}")
+        connecting = asyncio.create_task(grpc_channel.__connect__())
+        while not grpc_channel._connect_lock.locked():
+            await asyncio.sleep(0)
+        grpc_channel.close()
+        with pytest.raises(grpc_errors.CONNECTION_ERRORS):
+            await connecting
+        server.close()
+
+    asyncio.run(run())
+    gc.collect()
