Explain where a gateway would send a request, without sending it

A command of flamingocleat-ctl asks a gateway at its metrics address. The answer names the server that admission control would choose, and for each other server what keeps the request away from it.

--- a/src/flamingocleat/process/ctl.py
+++ b/src/flamingocleat/process/ctl.py
@@ -16,6 +16,7 @@
 from flamingocleat import errors
 from flamingocleat.process import api_documents
 from flamingocleat.process import settings as settings_module
+from flamingocleat.request import explanation as explanation_module
 from flamingocleat.version import difference
 from flamingocleat.version import document
 from flamingocleat.version import schema
@@ -25,6 +26,7 @@
 """Longer than control takes to report that an outcome is unknown."""
 CONNECT_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.2
+EXPLAIN_TIMEOUT_S = 5.0
 
 
 class Exit(enum.IntEnum):
@@ -182,12 +184,15 @@
     version: int | None = None
     findings: tuple[errors.Finding, ...] = ()
     changes: tuple[difference.Change, ...] = ()
+    explanation: explanation_module.Explanation | None = None
     body: msgspec.Raw = msgspec.Raw(b"null")
 
     def text(self) -> str:
         """Return the result as text for people."""
         lines = [str(finding) for finding in self.findings]
         lines += [str(change) for change in self.changes]
+        if self.explanation is not None:
+            lines += _explanation_lines(self.explanation)
         summary = self.result
         if self.version is not None:
             summary += f", version {self.version}"
@@ -198,6 +203,24 @@
         return "\n".join([*lines, summary])
 
 
+def _explanation_lines(
+    answer: explanation_module.Explanation,
+) -> collections.abc.Iterator[str]:
+    wait = "never" if answer.expected_wait_s is None else answer.expected_wait_s
+    yield (
+        f"route {answer.route}, service {answer.service}, priority "
+        f"{answer.priority}: {answer.waiting} waiting, expected wait {wait} s"
+        + (", slots left to others" if answer.leaves_slots else "")
+    )
+    for each in sorted(answer.servers, key=lambda server: server.cost):
+        mark = "*" if each.backend == answer.chosen else " "
+        yield (
+            f"{mark} {each.backend} {each.group} in {each.data_centre}: "
+            f"{each.in_flight} of {each.slots} slots, pace {each.pace}, cost "
+            f"{each.cost} {'; '.join(each.obstacles)}"
+        ).rstrip()
+
+
 Command = collections.abc.Callable[[argparse.Namespace], tuple[Exit, Result]]
 
 _COMMANDS: dict[str, Command] = {}
@@ -282,6 +305,37 @@
     return (Exit.DIFFERENT if changes else Exit.OK), result
 
 
+@command("explain")
+def explain(arguments: argparse.Namespace) -> tuple[Exit, Result]:
+    """Explain where a gateway would send a request now; send nothing."""
+    if not api_documents.is_address(arguments.gateway):
+        raise _UsageError(f"{arguments.gateway!r} is not an IP number and port")
+    fields = {
+        name: getattr(arguments, name)
+        for name in ("host", "path", "model", "customer", "prompt_tokens")
+        if getattr(arguments, name) is not None
+    }
+    url = f"http://{arguments.gateway}{explanation_module.PATH}"
+    try:
+        reply = urllib3.request(
+            "GET", url, fields=fields, timeout=EXPLAIN_TIMEOUT_S, retries=False
+        )
+    except urllib3.exceptions.HTTPError as error:
+        raise errors.UnavailableError(
+            f"no answer from {url}: {error}"
+        ) from error
+    if reply.status != 200:
+        raise _UsageError(reply.data.decode(errors="replace").strip())
+    answer = msgspec.json.decode(
+        reply.data, type=explanation_module.Explanation
+    )
+    return Exit.OK, Result(
+        answer.decision.value,
+        version=answer.version,
+        explanation=answer,
+    )
+
+
 @command("submit")
 def submit(arguments: argparse.Namespace) -> tuple[Exit, Result]:
     """Submit a document as a change to a base version."""
@@ -456,6 +510,16 @@
         parsers[name].add_argument("--timeout", metavar="S", type=float)
     for name in ("validate", "diff", "submit"):
         parsers[name].add_argument("file")
+    parsers["explain"].add_argument(
+        "--gateway", metavar="HOST:PORT", required=True
+    )
+    parsers["explain"].add_argument("--host", required=True)
+    parsers["explain"].add_argument("--path", required=True)
+    parsers["explain"].add_argument("--model")
+    parsers["explain"].add_argument("--customer")
+    parsers["explain"].add_argument(
+        "--prompt-tokens", metavar="N", type=int, dest="prompt_tokens"
+    )
     parsers["submit"].add_argument("--base-version", type=int, required=True)
     parsers["audit"].add_argument("--after", type=int, default=0)
     parsers["audit"].add_argument("--limit", type=int, default=100)
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -9,6 +9,7 @@
 import socket
 import time
 
+import msgspec
 import prometheus_client
 
 from flamingocleat import messages
@@ -21,6 +22,7 @@
 from flamingocleat.process import timer as timer_module
 from flamingocleat.request import admission
 from flamingocleat.request import budget as budget_module
+from flamingocleat.request import explanation
 from flamingocleat.request import fair_order
 from flamingocleat.request import forward
 from flamingocleat.request import header_names as header_names_module
@@ -104,7 +106,7 @@
             self._answer_health, settings=intake.SIDE_SETTINGS
         )
         self.metrics = http.Server(
-            answer_metrics, settings=intake.SIDE_SETTINGS
+            self._answer_operator, settings=intake.SIDE_SETTINGS
         )
         self.served = feed.ServedBackends()
         self.has_backends = False
@@ -189,6 +191,30 @@
             f"{reason or 'ready'}\n".encode(),
         )
 
+    async def _answer_operator(self, exchange: http.Exchange) -> None:
+        """Serve the metrics, or explain where a request would go."""
+        target = exchange.target.decode("latin-1")
+        if target.partition("?")[0] != explanation.PATH:
+            await answer_metrics(exchange)
+            return
+        try:
+            answer = explanation.explain(
+                explanation.read_question(target),
+                self.forwarder.catalog_index,
+                self.admission,
+            )
+        except explanation.QuestionError as error:
+            text = f"{error}\n".encode()
+            await exchange.respond(
+                400, [(b"content-type", b"text/plain")], text
+            )
+            return
+        await exchange.respond(
+            200,
+            [(b"content-type", b"application/json")],
+            msgspec.json.encode(answer),
+        )
+
     # Views from the leader.
 
     def _apply_view(self, view: messages.GatewayView) -> None:
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -302,7 +302,7 @@
             if found is not None:
                 return found
         now_s = self.clock()
-        until_s = demand.deadline_s if resuming else self._wait_until_s(demand)
+        until_s = demand.deadline_s if resuming else self.waits_until_s(demand)
         placed = asyncio.get_running_loop().create_future()
         entry = _QueuedRequest(
             demand=demand, resuming=resuming, excluded=excluded, placed=placed
@@ -349,7 +349,7 @@
             last.placed.set_exception(self._refusal(last.demand))
         return True
 
-    def _wait_until_s(self, demand: Demand) -> float:
+    def waits_until_s(self, demand: Demand) -> float:
         """Return until when a request may wait.
 
         A time that is not in the future means that it may not wait.
@@ -496,7 +496,9 @@
             e for e in available if not self.candidates.is_handing_over(e)
         ] or available
         return min(
-            available, key=lambda each: self._cost(each, demand), default=None
+            available,
+            key=lambda each: (self.cost(each, demand), each.view.backend),
+            default=None,
         )
 
     def try_place(
@@ -507,7 +509,7 @@
         resuming: bool = False,
     ) -> candidates_module.Candidate | None:
         """Reserve a slot on the cheapest server; None if none is free."""
-        if not resuming and self._leaves_slots(demand):
+        if not resuming and self.leaves_slots(demand):
             return None
         found = self.choose(demand, excluded, resuming=resuming)
         if found is not None:
@@ -516,7 +518,7 @@
             self.order.record(demand, self.clock())
         return found
 
-    def _leaves_slots(self, demand: Demand) -> bool:
+    def leaves_slots(self, demand: Demand) -> bool:
         """Return whether the free slots are left to other gateways' callers."""
         now_s = self.clock()
         count = self.elsewhere.count_before(demand, now_s)
@@ -527,18 +529,19 @@
         free = slots - sum(each.total for each in found)
         return free <= min(count, slots * fair_order.MAX_LEFT_FRACTION)
 
-    def _cost(
+    def cost(
         self, candidate: candidates_module.Candidate, demand: Demand
-    ) -> tuple[float, str]:
+    ) -> float:
+        """Return the cost of sending a request to a server."""
         if demand.is_trial:
-            return candidate.total, candidate.view.backend
+            return candidate.total
         cost = candidate.total / max(1, candidate.view.slots)
         cost += candidate.reading_s / max(0.05, demand.objective_s)
         if candidate.view.pace > 1:
             cost += self._pace_cost(candidate, demand)
         if candidate.view.data_centre != self.data_centre:
             cost += REMOTE_PENALTY
-        return cost, candidate.view.backend
+        return cost
 
     def _pace_cost(
         self, candidate: candidates_module.Candidate, demand: Demand
