--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -204,8 +204,10 @@
 class Caller:
     """A caller with a connection that is reused until it ends."""
 
-    def __init__(self, calls: dict[str, str], model: str = "m") -> None:
-        self.calls = calls
+    def __init__(
+        self, calls: dict[str, str] | None = None, model: str = "m"
+    ) -> None:
+        self.calls = {} if calls is None else calls
         """Receives the gateway of each call, by the call's id."""
         self.model = model
         self.connection: h11.Connection | None = None
