Log the version of the configuration that served a request

An on-call team could not tell from the logs which version had handled a request: request_ended named the version in force as the request ended. It now names the one by which the route was chosen. The test failed before (version 8 in place of 7).

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -280,12 +280,11 @@
 
     def _report(self, sequence: int) -> messages.GatewayReport:
         now_s = time.monotonic()
-        catalog_index = self.forwarder.catalog_index
         return messages.GatewayReport(
             gateway=self.settings.gateway,
             data_centre=self.settings.data_centre,
             sequence=sequence,
-            version=catalog_index.catalog.version if catalog_index else -1,
+            version=self.forwarder.version(),
             requests=self.forwarder.requests,
             heads=tuple(
                 report
--- a/src/flamingocleat/request/direct_call.py
+++ b/src/flamingocleat/request/direct_call.py
@@ -20,8 +20,11 @@
         customer: catalog.Customer | None,
         service: catalog.Service,
         header_names: header_names_module.HeaderNames,
+        version: int = catalog.NO_VERSION,
     ) -> None:
         self.exchange = exchange
+        self.version = version
+        """Version of the configuration by which it is served."""
         self.route = route
         self.customer = customer
         self.service = service
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -248,7 +248,12 @@
         target_service = self.random.choices(route.targets, weights)[0].service
         service = self.catalog_index.services[target_service]
         return direct_call.Call(
-            exchange, route, customer, service, self.header_names
+            exchange,
+            route,
+            customer,
+            service,
+            self.header_names,
+            self.version(),
         )
 
     def _authenticate(
@@ -570,7 +575,7 @@
             status=refusal.status,
             retry_after_s=refusal.retry_after_s,
             after_ms=round((time.monotonic() - exchange.arrived_s) * 1000),
-            version=self._version(),
+            version=self.version(),
             view_age_ms=round(self.view_age_s() * 1000),
             reason=refusal,
         )
@@ -612,8 +617,11 @@
         jitter_s = self.random.uniform(0, RETRY_AFTER_JITTER_S)
         return max(NO_VIEW_RETRY_AFTER_S, remaining_s) + jitter_s
 
-    def _version(self) -> int:
-        return self.catalog_index.catalog.version if self.catalog_index else -1
+    def version(self) -> int:
+        """Return the version of the configuration in force."""
+        if self.catalog_index is None:
+            return catalog.NO_VERSION
+        return self.catalog_index.catalog.version
 
     def _log_failure(
         self,
@@ -650,7 +658,7 @@
             status=status,
             sent=call.sent,
             backend=call.backend,
-            version=self._version(),
+            version=call.version,
             view_age_ms=round(self.view_age_s() * 1000),
             first_byte_ms=round((call.first_byte_s or 0) * 1000),
             after_ms=round((time.monotonic() - call.exchange.arrived_s) * 1000),
--- a/src/flamingocleat/version/catalog.py
+++ b/src/flamingocleat/version/catalog.py
@@ -6,6 +6,9 @@
 
 from flamingocleat import ids
 
+NO_VERSION = -1
+"""Stands for the version where there is no configuration."""
+
 
 class CallKind(enum.Enum):
     """Whether and how a call may be repeated."""
--- a/tests/direct/test_forward.py
+++ b/tests/direct/test_forward.py
@@ -3,9 +3,12 @@
 import asyncio
 import time
 
+import logbook
+import msgspec
 import pytest
 
 from flamingocleat.request import forward
+from flamingocleat.version import catalog
 from tests.direct import support
 
 
@@ -428,3 +431,26 @@
         assert reply.headers["connection"] == "close"
 
     support.run_scenario(scenario)
+
+
+def test_log_names_the_version_that_served_a_request():
+    """Guards against logging the version in force as the request ended."""
+
+    async def scenario(harness):
+        async def change_meanwhile(received):
+            newer = msgspec.structs.replace(support.CATALOG, version=8)
+            harness.forwarder.apply_catalog(catalog.CatalogIndex(newer))
+            await received.answer(b"done")
+
+        await harness.add(change_meanwhile)
+        with logbook.TestHandler().applicationbound() as handler:
+            await harness.request("/read/x")
+        ended = [
+            record.message
+            for record in handler.records
+            if "event=request_ended" in record.message
+        ]
+        assert len(ended) == 1
+        assert " version=7 " in ended[0]
+
+    support.run_scenario(scenario)
