--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -247,6 +247,38 @@
         decode("POST", "/api/Config.Replace", document)
 
 
+def with_broken_text(document, field="comment"):
+    """Return a document with a field whose value is no text."""
+    body = json.dumps({**document, field: "?"}).encode()
+    return body.replace(b'"?"', b'"a\xffb"')
+
+
+@pytest.mark.parametrize(
+    ("path", "document"),
+    [
+        (wire.PUT_PATH, with_broken_text(CONFIG)),
+        (
+            wire.PUT_PATH,
+            json.dumps({**CONFIG, "services": []})
+            .encode()
+            .replace(b"[]", b"[" + with_broken_text({"name": "s"}) + b"]"),
+        ),
+        (f"{wire.ANNOUNCE_PATH}i-1", with_broken_text(HEARTBEAT)),
+        (f"{wire.LEAVE_PATH}i-1", with_broken_text({})),
+    ],
+)
+def test_broken_text_in_a_field_that_is_skipped_is_unreadable(path, document):
+    """Guards against acknowledging a change that others cannot read."""
+    with pytest.raises(platform.UnreadableError):
+        wire.PlatformAdapter().decode_call("POST", path, document)
+
+
+def test_stored_configuration_with_broken_text_is_still_decoded():
+    """Guards against losing what an earlier build has acknowledged."""
+    stored = with_broken_text(CONFIG)
+    assert wire.PlatformAdapter().decode_catalog(stored).version == 7
+
+
 def test_unknown_call_is_none():
     """Guards against handling other paths and methods as control calls."""
     assert decode("GET", "/api/other", b"") is None
