Let the soak see which version each gateway obeys

The soak read configurations back from coordinators only. It now sees what callers see: each version has a route and a key of its own and those of the 39 before it, two operators race, lose answers, send again, send outdated and invalid changes, and each gateway is probed on a kept and on a new connection. It checks that an acknowledged change is obeyed in time, that a lifetime never goes back, that dropped routes and keys are refused, that invalid or refused changes have no effect, that one version has one content, and that added routes are served as often as others.

New faults: voters are cut from each other (their calls pass through proxies), a coordinator is killed as it acknowledges, signals come in series, settings change, a disk's syncs are slow, processors are busy.

--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import time
+import typing
 
 from flamingocleat.connection import http
 
@@ -607,13 +608,22 @@
 }
 
 
+class Reply(typing.NamedTuple):
+    """An answer of control."""
+
+    status: int
+    content: bytes
+    address: str
+    """Where the answer came from, after redirects."""
+
+
 async def post(
     address: str,
     path: str,
     body: bytes,
     method: str = "POST",
     timeout_s: float = 1.0,
-) -> tuple[int, bytes] | None:
+) -> "Reply | None":
     """Make a call, following two redirects; return None without an answer."""
     for _ in range(3):
         try:
@@ -623,7 +633,7 @@
         except (http.ConnectError, http.BrokenAnswerError, TimeoutError):
             return None
         if answer.status != 307:
-            return answer.status, content
+            return Reply(answer.status, content, address)
         location = answer.header(b"location").removeprefix("http://")
         address = location.partition("/")[0]
     return None
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -18,29 +18,30 @@
 import sys
 import tempfile
 import time
+import typing
 
 import h11
 
 from flamingocleat.connection import http
 from tests import crowds
+from tests.platform import config_watch
+from tests.platform import control_faults  # noqa: F401 (registers faults)
 from tests.platform import emulator
+from tests.platform import faults as faults_module
 
-START_SCRIPT = (
-    pathlib.Path(__file__).resolve().parents[2] / "platform" / "start.py"
-)
+START_SCRIPT = pathlib.Path(__file__).with_name("start_linked.py")
 COORDINATORS = 3
 GATEWAYS = 2
+OPERATORS = 2
 ENGINES = 8
 PLAIN_SERVERS = 2
 CONTROL_PORT, VOTER_PORT, FRONT_PORT, READY_PORT = 7001, 7002, 7003, 7004
 ENGINE_PORT, PROXY_PORT = 7005, 7006
+LINK_PORT = 7100
+"""First port of the proxies between voters."""
 SETTLE_S = 20.0
 """Time limit for the first answers, and for answers after the last fault."""
 DEADLINE_MS = 4000
-READ_TIMEOUT_S = 5.0
-"""Longer than the longest pause of a process."""
-APPLY_S = 2.0
-"""Time within which gateways apply an acknowledged configuration."""
 CALM_S = 3.0
 """Time after a fault of a program in which bounds in time do not hold."""
 LEAVE_S = 1.0
@@ -78,14 +79,9 @@
 """Requests with the lethal part that may reach engines later than CALM_S after
 that many crashes."""
 
-Action = collections.abc.Callable[["Soak"], collections.abc.Awaitable[None]]
-FAULTS: dict[str, Action] = {}
-
-
-def fault(action: Action) -> Action:
-    """Register a fault that a run may inject."""
-    FAULTS[action.__name__] = action
-    return action
+Action = faults_module.Action
+FAULTS = faults_module.FAULTS
+fault = faults_module.fault
 
 
 def _find_free_net() -> int:
@@ -116,6 +112,10 @@
         self.limits = {"memoryMb": MEMORY_MB}
         """Limits of its machine, in its settings."""
         self.process: asyncio.subprocess.Process | None = None
+        self.starts = 0
+        """Number of lifetimes."""
+        self.disk_delay = self.folder / "disk-delay"
+        """A file that holds the time that a sync takes, if it exists."""
         self.last_fault_s = float("-inf")
         """When a fault was last injected."""
         self.is_paused = False
@@ -156,6 +156,7 @@
         }
         path = self.folder / "boot.json"
         path.write_text(json.dumps(boot))
+        self.starts += 1
         with open(self.folder / "log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -163,7 +164,12 @@
                 self.role,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "FLAMINGOCLEAT_BOOT": str(path)},
+                env={
+                    **os.environ,
+                    "FLAMINGOCLEAT_BOOT": str(path),
+                    "SOAK_LINKS": json.dumps(self.soak.links_of(self)),
+                    "SOAK_DISK_DELAY": str(self.disk_delay),
+                },
             )
         self.bootstrap = False
 
@@ -234,7 +240,11 @@
         self.connection = None
 
     async def request(
-        self, path: str, request_id: str, parts: str = ""
+        self,
+        path: str,
+        request_id: str,
+        parts: str = "",
+        extra: collections.abc.Sequence[tuple[str, str]] = (),
     ) -> tuple[http.Answer, bytes]:
         """Make one request; raise OSError, RemoteProtocolError or TimeoutError.
 
@@ -254,6 +264,7 @@
                 ("x-token-counts", "100,50"),
                 ("x-prompt-prefix", f"{parts}{request_id}:50"),
                 ("content-length", "0"),
+                *extra,
             ],
         )
         self.writer.write(self.connection.send(head) or b"")
@@ -288,8 +299,15 @@
 class Soak:
     """A soak run with one seed."""
 
+    front_port = FRONT_PORT
+
     def __init__(
-        self, seed: int, folder: pathlib.Path, faults: dict[str, Action]
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        faults: dict[str, Action],
+        coordinators: int = COORDINATORS,
+        gateways: int = GATEWAYS,
     ) -> None:
         self.seed = seed
         self.faults = faults
@@ -298,11 +316,13 @@
         self.folder = folder
         self.invariants = emulator.InvariantLog()
         self.coordinators = [
-            Program(self, "coordinator", n + 1) for n in range(COORDINATORS)
+            Program(self, "coordinator", n + 1) for n in range(coordinators)
         ]
         self.gateways = [
-            Program(self, "gateway", n + 1) for n in range(GATEWAYS)
+            Program(self, "gateway", n + 1) for n in range(gateways)
         ]
+        self.voter_links: dict[tuple[int, int], emulator.Proxy] = {}
+        """Proxies by the numbers of the calling voter and the called one."""
         self.fleet = emulator.Fleet(self.invariants, self.control, seed)
         if "return_together" in faults:
             self.fleet.cold_s = emulator.COLD_S
@@ -320,8 +340,7 @@
         self.is_evacuating = False
         self.gateway_by_call: dict[str, str] = {}
         """Address of the gateway to which each call was made, by its id."""
-        self.version = 0
-        self.acknowledged = 0
+        self.config_watch = config_watch.ConfigWatch(self)
         self.served = 0
         self.refused = 0
         self.injected: list[str] = []
@@ -336,6 +355,37 @@
             for coordinator in self.coordinators
         ]
 
+    @property
+    def acknowledged(self) -> int:
+        """The highest version that was acknowledged, or 0."""
+        return max(0, self.config_watch.newest_acknowledged(time.monotonic()))
+
+    def links_of(self, program: Program) -> dict[str, str]:
+        """Return the addresses at which a program calls voters."""
+        if program not in self.coordinators:
+            return {}
+        source = self.coordinators.index(program)
+        return {
+            self.coordinators[target].address(VOTER_PORT): proxy.listen
+            for (caller, target), proxy in self.voter_links.items()
+            if caller == source
+        }
+
+    async def _start_links(self) -> None:
+        count = len(self.coordinators)
+        pairs = [(i, j) for i in range(count) for j in range(count) if i != j]
+        for number, (source, target) in enumerate(pairs):
+            link = emulator.Proxy(
+                f"127.{self.net}.4.1:{LINK_PORT + number}",
+                self.coordinators[target].address(VOTER_PORT),
+            )
+            await link.start()
+            self.voter_links[source, target] = link
+
+    def new_caller(self) -> Caller:
+        """Return a caller whose calls are not recorded."""
+        return Caller()
+
     @property
     def servers(self) -> list[emulator.Server]:
         return list(self.fleet.servers.values())
@@ -351,12 +401,8 @@
         try:
             await self._start()
             tasks += [asyncio.create_task(self._call(n)) for n in range(6)]
-            tasks.append(asyncio.create_task(self._submit_configurations()))
             tasks.append(asyncio.create_task(self._watch_memory()))
-            for address in self.control:
-                tasks.append(
-                    asyncio.create_task(self._read_configuration(address))
-                )
+            tasks += self._watch_configuration()
             await self._wait_until_served("the first service")
             end_s = time.monotonic() + duration_s
             running: set[asyncio.Task] = set()
@@ -366,18 +412,36 @@
                 self.injected.append(f"{at_s:.2f} {name}")
                 running.add(asyncio.create_task(self.faults[name](self)))
                 await asyncio.sleep(self.random.uniform(0.1, 2.0))
-            for failed in await asyncio.gather(
-                *running, return_exceptions=True
-            ):
-                if failed is not None:
-                    self.invariants.record_violation("soak", repr(failed))
+            self._record_failures(
+                await asyncio.gather(*running, return_exceptions=True)
+            )
             await self._wait_until_served("service after the last fault")
             await self._check_readable()
         finally:
             self.stopping = True
-            await asyncio.gather(*tasks)
+            self._record_failures(
+                await asyncio.gather(*tasks, return_exceptions=True)
+            )
             await self._stop()
 
+    def _record_failures(
+        self, outcomes: collections.abc.Iterable[typing.Any]
+    ) -> None:
+        for outcome in outcomes:
+            if outcome is not None:
+                self.invariants.record_violation("soak", repr(outcome))
+
+    def _watch_configuration(self) -> list[asyncio.Task]:
+        watch = self.config_watch
+        work = [watch.operate() for _ in range(OPERATORS)]
+        work += [watch.read(address) for address in self.control]
+        work += [
+            watch.probe(gateway, keeps_connection=keeps)
+            for gateway in self.gateways
+            for keeps in (False, True)
+        ]
+        return [asyncio.create_task(each) for each in work]
+
     @property
     def engines(self) -> list[emulator.Server]:
         return [each for each in self.servers if each.service == "llm"]
@@ -478,6 +542,7 @@
             await coordinator.start()
 
     async def _start(self) -> None:
+        await self._start_links()
         for program in (*self.coordinators, *self.gateways):
             await program.start()
         if self.crashes_first_starts:
@@ -509,10 +574,14 @@
             if program.process is not None:
                 program.send(signal.SIGKILL)
                 await program.process.wait()
+        for link in self.voter_links.values():
+            await link.close()
+        await asyncio.sleep(2 * emulator.ACCEPT_S)
 
     # The operator.
 
-    def _config(self) -> dict:
+    def config(self, version: int) -> dict:
+        """Return a configuration in the platform's format."""
         route = {
             "host": "h",
             "timeoutMs": DEADLINE_MS,
@@ -526,7 +595,7 @@
         if not self.fleet.cold_s:
             cold_rate = {}
         return {
-            "version": self.version,
+            "version": version,
             "routes": [
                 {
                     **route,
@@ -557,13 +626,6 @@
                     "service": "desk",
                     "maxAttempts": 3,
                 },
-                {
-                    **route,
-                    "name": "v",
-                    "pathPrefix": f"/v{self.version}/",
-                    "kind": "read_only",
-                    "service": "desk",
-                },
                 *(
                     {
                         **route,
@@ -587,41 +649,6 @@
             return _ENGINE
         return {**_ENGINE, "models": [*_ENGINE["models"], _SECOND_MODEL]}
 
-    async def _submit_configurations(self) -> None:
-        """Submit new configurations to random coordinators."""
-        while not self.stopping:
-            self.version += self.random.randint(1, 3)
-            body = json.dumps(self._config()).encode()
-            address = self.random.choice(self.control)
-            reply = await emulator.post(address, "/api/Config.Replace", body)
-            if reply is not None and reply[0] == 200:
-                self.acknowledged = self.version
-            elif reply is not None and 400 <= reply[0] < 500:
-                self.invariants.record_violation(
-                    "accepted changes", f"refused: {reply}"
-                )
-            await asyncio.sleep(self.random.uniform(0.1, 0.6))
-
-    async def _read_configuration(self, address: str) -> None:
-        """Read the configuration from one coordinator repeatedly.
-
-        A read waits while the coordinator is paused, and must not return the
-        configuration from before the pause.
-        """
-        while not self.stopping:
-            before = self.acknowledged
-            reply = await emulator.post(
-                address, "/api/Config.Get", b"", "GET", READ_TIMEOUT_S
-            )
-            if reply is not None and reply[0] == 200:
-                version = json.loads(reply[1])["version"]
-                if version < before:
-                    self.invariants.record_violation(
-                        "accepted changes",
-                        f"{address} shows {version} after {before}",
-                    )
-            await asyncio.sleep(0.05)
-
     async def _check_readable(self) -> None:
         end_s = time.monotonic() + SETTLE_S
         while time.monotonic() < end_s:
@@ -629,7 +656,11 @@
                 reply = await emulator.post(
                     address, "/api/Config.Get", b"", "GET"
                 )
-                if reply is not None and reply[0] == 200:
+                if reply is not None and reply.status == 200:
+                    self.config_watch.check_read(
+                        reply.content, self.acknowledged, address
+                    )
+                    self.config_watch.check_end()
                     return
             await asyncio.sleep(0.2)
         self.invariants.record_violation(
@@ -1143,13 +1174,15 @@
     duration_s: float,
     folder: pathlib.Path,
     faults: dict[str, Action] = FAULTS,
+    coordinators: int = COORDINATORS,
+    gateways: int = GATEWAYS,
 ) -> Soak:
     """Run one seed; SIGTERM ends everything that it started."""
     task = asyncio.current_task()
     assert task is not None
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
-    soak = Soak(seed, folder, faults)
+    soak = Soak(seed, folder, faults, coordinators, gateways)
     try:
         await soak.run(duration_s)
     finally:
@@ -1163,17 +1196,32 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--duration-s", type=float, default=12.0)
+    parser.add_argument("--coordinators", type=int, default=COORDINATORS)
+    parser.add_argument("--gateways", type=int, default=GATEWAYS)
+    parser.add_argument("--only", help="names of faults, separated by commas")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     options = parser.parse_args()
+    names = options.only.split(",") if options.only else sorted(FAULTS)
+    faults = {name: FAULTS[name] for name in names}
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder)
-            soak = asyncio.run(run_seed(seed, options.duration_s, path))
+            soak = asyncio.run(
+                run_seed(
+                    seed,
+                    options.duration_s,
+                    path,
+                    faults,
+                    options.coordinators,
+                    options.gateways,
+                )
+            )
             print(
                 f"seed={seed} served={soak.served} refused={soak.refused} "
                 f"version={soak.acknowledged} faults={len(soak.injected)} "
                 f"cold={soak.invariants.cold_arrivals} "
+                f"probes={soak.config_watch.probes} "
                 f"broken={len(soak.invariants.violations)}",
                 flush=True,
             )
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.platform import control_faults
 from tests.platform import soak
 
 SEEDS = {
@@ -26,6 +27,7 @@
     "return_together",
     "burst",
     "send_crowd",
+    *control_faults.NEW_FAULTS,
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
@@ -36,6 +38,10 @@
 SEEDS_OF_COLD_FAULTS = {
     500: "never failed",
 }
+SEEDS_OF_CONTROL_FAULTS = {
+    38100: "a change whose bytes are no text was acknowledged and obeyed",
+    600: "never failed",
+}
 DURATION_S = 8.0
 
 
@@ -73,3 +79,18 @@
     result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
     check(result)
     assert result.invariants.cold_arrivals > 0
+
+
+@pytest.mark.parametrize("seed", sorted(SEEDS_OF_CONTROL_FAULTS))
+def test_gateways_obey_what_control_acknowledged(tmp_path, seed):
+    """Operators race, lose answers and send invalid changes meanwhile.
+
+    Voters are cut from each other, killed and slowed, signals come in series.
+    """
+    faults = {
+        name: soak.FAULTS[name]
+        for name in (*control_faults.NEW_FAULTS, "kill", "pause")
+    }
+    result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
+    check(result)
+    assert result.config_watch.probes > 0
