Send servers no more than the limit that they name, over all gateways

Class: what a server says of itself in answers was heeded by the gateway that heard it at most, and for limits by none.

Change: the leader grants requests to limited servers as it does to cold ones. A server's Rate says how much it gets a second, how much unused rate is kept and whether a bound per window is charged too; a named limit has room for a bucket without charges, so a new leader need not wait. Gateways report what servers have said with the ages of request and answer; a limit is raised or lifted only by an answer to a request that was sent after it was heard. Without a leader a gateway goes on with half of its equal part, which the leader leaves out. The head of an answer is read before its body arrives. docs/design/named-limits.md has the bound.

The test of the room of cold servers passes a rate in place of an account.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -670,6 +670,14 @@
                 return value.decode("latin-1")
         return ""
 
+    def values(self, name: bytes) -> list[str]:
+        """Return all values of a header."""
+        return [
+            value.decode("latin-1")
+            for known, value in self.headers
+            if known == name
+        ]
+
 
 class Client:
     """One request to one server on a new connection.
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -496,8 +496,26 @@
     written: tuple[WrittenPart, ...] = ()
 
 
+NO_LIMIT = -1.0
+"""Stands for the limit of a server that names none."""
+
+
+class ServerLimit(Message, frozen=True):
+    """What a server has said to a gateway of the requests that it takes."""
+
+    backend: ids.BackendId
+    born_ms: int
+    """Start of the lifetime that said it."""
+    per_s: float
+    """Requests per second from all gateways; NO_LIMIT if it names no limit."""
+    sent_ms: int
+    """Age of the request whose answer says so."""
+    heard_ms: int
+    """Age of that answer."""
+
+
 class ColdWanted(Message, frozen=True):
-    """A server that a gateway treats as cold, and what it would send to it."""
+    """A server that needs grants, and what a gateway would send to it."""
 
     backend: ids.BackendId
     wanted: int = 0
@@ -506,16 +524,16 @@
 
 
 class ColdReport(Message, frozen=True):
-    """What a gateway that knows cold servers tells the leader."""
+    """What a gateway that knows cold or limited servers tells the leader."""
 
     servers: tuple[ColdWanted, ...] = ()
-    """All servers that it treats as cold."""
+    """All servers that it treats as cold or limited."""
     gateways: int = 1
     """Gateways that it has heard of; a new leader may not know all yet."""
 
 
 class ColdGrant(Message, frozen=True):
-    """Requests that a gateway may send to a cold server."""
+    """Requests that a gateway may send to a cold or limited server."""
 
     backend: ids.BackendId
     requests: int
@@ -541,6 +559,8 @@
     cold_wanted: ColdReport | None = None
     waiting: tuple[WaitingRequests, ...] = ()
     """Its callers' requests that wait for a slot, by priority."""
+    limits: tuple[ServerLimit, ...] = ()
+    """What listed servers have said to it of their limits."""
 
 
 class ReportBody(Message, frozen=True):
@@ -571,6 +591,8 @@
     """Requests per second that it tolerates while cold; 0: never cold."""
     pace: float = 1.0
     """Time that its work takes as a multiple of the declared time."""
+    limit_per_s: float = NO_LIMIT
+    """Requests per second that it takes from all gateways, as it has said."""
 
 
 class OtherGatewaysLoad(Message, frozen=True):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -35,13 +35,13 @@
 from flamingocleat.process import voters as voters_module
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import cold as cold_module
-from flamingocleat.version import cold_servers
 from flamingocleat.version import confirmations
 from flamingocleat.version import declared
 from flamingocleat.version import demand as demand_module
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import group as group_module
 from flamingocleat.version import groups as groups_module
+from flamingocleat.version import limited_servers
 from flamingocleat.version import orders as orders_module
 from flamingocleat.version import pace as pace_module
 
@@ -170,7 +170,7 @@
             self.publisher.notify_gateway,
         )
         self.publisher.take_grants = self.grants.take
-        self.cold_servers = cold_servers.ColdServers(self.grants)
+        self.limited_servers = limited_servers.LimitedServers(self.grants)
         self.fleet = fleet_module.Fleet()
         self.fleet.subscribe(self._on_fleet_change)
         self.demand = demand_module.DemandTotals()
@@ -280,7 +280,7 @@
         for stored in self.machine.withdrawals.values():
             self.fleet.withdraw(stored.withdrawal, now_s)
         self.managers.clear()
-        self.cold_servers.begin(now_s)
+        self.limited_servers.begin(now_s)
         self.paces.clear()
         self.served_backends = ()
         self._update_managers()
@@ -331,7 +331,8 @@
     def _on_gateway_report(self, report: messages.GatewayReport) -> None:
         now_s = time.monotonic()
         self.demand.record(report, now_s)
-        self.cold_servers.record_report(report, now_s)
+        if self.limited_servers.record_report(report, now_s):
+            self.review_due.set()
         self.paces.record(report, now_s)
         for manager in self.managers.values():
             manager.has_traffic = manager.has_traffic or report.requests > 0
@@ -432,7 +433,7 @@
         orders: Orders = []
         for manager in self.managers.values():
             manager.in_flight = in_flight
-            manager.cold_per_s = self.cold_servers.cold_per_s()
+            manager.limited_per_s = self.limited_servers.rates_per_s()
             manager.demand = self.demand.rates(manager.service, now_s)
             orders += [(manager, order) for order in manager.step(now_s)]
         self.evacuations.review(self.managers)
@@ -596,7 +597,7 @@
                         )
                     )
         served.sort(key=lambda each: each.backend)
-        marked = self.cold_servers.mark(
+        marked = self.limited_servers.mark(
             served, self.catalog, self.fleet, now_s, is_complete=self.settled
         )
         return learned_paces.apply(
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -296,6 +296,7 @@
                 for (service, model), count in self.admission.demand.items()
             ),
             cold_wanted=self.admission.cold.wanted(sequence, self.admission),
+            limits=self.admission.cold.statements(),
             waiting=fair_order.count_waiting(self.admission.waiting),
         )
 
--- a/src/flamingocleat/request/admission.py
+++ b/src/flamingocleat/request/admission.py
@@ -377,10 +377,10 @@
         return min(until_s, demand.deadline_s)
 
     def _ask_for_grants(self, entry: _QueuedRequest, now_s: float) -> None:
-        """Report at once if a request waits although a cold server is free."""
+        """Report at once if a request waits although a server needs a grant."""
         demand = entry.demand
         if entry in self.waiting and any(
-            self.cold.is_cold(each, now_s)
+            self.cold.needs_grant(each, now_s)
             for each in self.candidates.find(demand.service, demand.model)
         ):
             self.cold.ask()
@@ -456,8 +456,11 @@
 
         No event tells when a second is over.
         """
-        by_backend = self.candidates.by_backend
-        if any(each.view.cold_per_s for each in by_backend.values()):
+        now_s = self.clock()
+        if self.waiting and any(
+            self.cold.has_rate(each, now_s)
+            for each in self.candidates.by_backend.values()
+        ):
             self.dispatch()
 
     def choose(
--- a/src/flamingocleat/request/cold.py
+++ b/src/flamingocleat/request/cold.py
@@ -1,8 +1,9 @@
-"""Rate limit on cold servers; the gateway's side.
+"""Rates of cold and limited servers; the gateway's side.
 
-A gateway sends to a cold server only what the leader has granted, and to a
-server that counts as warm at most its share of the bound. Both are checked
-when a slot is reserved and again just before the request is sent.
+A gateway sends to a cold or limited server only what the leader has granted,
+and to a server that counts as warm at most its share of the bound. Both are
+checked when a slot is reserved and again just before the request is sent.
+Without a leader, limited servers get a part of the gateway's equal share.
 """
 
 import collections
@@ -19,6 +20,7 @@
 from flamingocleat.request import eligibility
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import cold as cold_module
+from flamingocleat.version import named_limits
 
 if typing.TYPE_CHECKING:
     from flamingocleat.request import admission as admission_module
@@ -41,11 +43,17 @@
 leader counts only those that have connected to it so far."""
 CONTACT_S = 1.0
 """A leader whose last view is older counts as unreachable."""
+HEEDED_S = 1.0
+"""Time in which the leader's list shows what its gateways have reported. Until
+then a gateway heeds a limit that only it has heard."""
+MAX_LOGGED_VALUE = 80
+"""Bound on the characters of a header's value in the log."""
 MAX_COLD_S = 600.0
 """Bound on the cold time that an answer may state."""
 
 _SENT = prometheus_client.Counter(
-    "flamingocleat_gateway_cold_sent", "Requests sent to cold servers"
+    "flamingocleat_gateway_cold_sent",
+    "Requests sent to cold and limited servers",
 )
 _HELD_BACK = prometheus_client.Counter(
     "flamingocleat_gateway_cold_held_back",
@@ -70,6 +78,11 @@
         """When requests were sent, within the last second."""
         self.received_s: collections.deque[float] = collections.deque()
         """When grants were received, within the last second."""
+        self.unguided = 0.0
+        """Requests that it may send to a limited server without a leader."""
+        self.unguided_since_s = float("-inf")
+        """When that was computed last; before the leader's last view, it does
+        not count."""
 
     def expire(self, now_s: float) -> None:
         """Drop what no longer counts."""
@@ -92,7 +105,7 @@
 
 
 class ColdGate:
-    """Decides whether servers with a cold rate may get a request."""
+    """Decides whether cold and limited servers may get a request."""
 
     def __init__(
         self,
@@ -104,6 +117,8 @@
         self.bounds = cold_module.ColdBounds()
         self.request_report: collections.abc.Callable[[], None] = lambda: None
         """Causes a report to be sent without delay."""
+        self.limits = named_limits.NamedLimits()
+        """What servers have said to this gateway."""
         self.accounts: dict[ids.BackendId, _Account] = {}
         self.gateways = 1
         self.gateways_s = float("-inf")
@@ -165,8 +180,77 @@
             self.request_report()
         account.answered_until_s = now_s + min(MAX_COLD_S, cold_s)
 
+    def record_limit(
+        self,
+        candidate: candidates_module.Candidate,
+        values: collections.abc.Sequence[str],
+        sent_s: float,
+    ) -> None:
+        """Record the limit that an answer names, or that it names none.
+
+        Args:
+            candidate: The server that gave the answer.
+            values: The values of the answer's header.
+            sent_s: When the request was sent.
+        """
+        per_s = named_limits.parse(values)
+        lifetime = candidate.lifetime
+        now_s = self.clock()
+        if per_s is None:
+            logs.info(
+                _log,
+                "server_limit_unreadable",
+                backend=lifetime.backend,
+                values=",".join(values)[:MAX_LOGGED_VALUE],
+            )
+            return
+        if (
+            per_s == messages.NO_LIMIT
+            and candidate.view.limit_per_s == messages.NO_LIMIT
+            and self.limits.find(lifetime) is None
+        ):
+            return
+        was_limited = self.limit_per_s(candidate, now_s) != messages.NO_LIMIT
+        self.limits.record(lifetime, per_s, sent_s=sent_s, heard_s=now_s)
+        if was_limited is (per_s == messages.NO_LIMIT):
+            logs.info(
+                _log,
+                "server_says_limit",
+                backend=lifetime.backend,
+                born=lifetime.born_ms,
+                per_s=per_s,
+            )
+            self.request_report()
+
+    def limit_per_s(
+        self, candidate: candidates_module.Candidate, now_s: float
+    ) -> float:
+        """Return the limit that a server names; messages.NO_LIMIT if none.
+
+        The leader's list counts, but for what this gateway has heard too late
+        for it, or since it has lost the leader.
+        """
+        told = candidate.view.limit_per_s
+        said = self.limits.find(candidate.lifetime)
+        if said is None:
+            return told
+        if said.is_limit and said.heard_s > self.view_s - HEEDED_S:
+            return said.per_s
+        if now_s - self.view_s > CONTACT_S and said.heard_s > self.view_s:
+            return said.per_s
+        return told
+
     # Whether a request may be sent.
 
+    def needs_grant(
+        self, candidate: candidates_module.Candidate, now_s: float
+    ) -> bool:
+        """Return whether a server gets only what the leader grants."""
+        return (
+            self.is_cold(candidate, now_s)
+            or self.limit_per_s(candidate, now_s) != messages.NO_LIMIT
+        )
+
     def is_cold(
         self, candidate: candidates_module.Candidate, now_s: float
     ) -> bool:
@@ -179,30 +263,40 @@
         self, candidate: candidates_module.Candidate, now_s: float
     ) -> bool:
         """Return whether a slot may be reserved for a request now."""
+        if self.needs_grant(candidate, now_s):
+            account = self._account(candidate)
+            account.expire(now_s)
+            return (
+                any(
+                    expiry_s > now_s + SEND_MARGIN_S
+                    for expiry_s in account.grants
+                )
+                or self._refill_unguided(candidate, now_s) >= 1
+            )
         if not candidate.view.cold_per_s:
             return True
         account = self._account(candidate)
         account.expire(now_s)
-        if account.is_cold(candidate.view, now_s):
-            return any(
-                expiry_s > now_s + SEND_MARGIN_S for expiry_s in account.grants
-            )
         pending = sum(not by_grant for by_grant, _ in account.reserved)
         return len(account.sent_s) + pending < self._share(candidate)
 
     def reserve(self, candidate: candidates_module.Candidate) -> None:
         """Use a grant, or a part of the share, for a reserved slot."""
-        if not candidate.view.cold_per_s:
-            return
         now_s = self.clock()
-        account = self._account(candidate)
-        if not account.is_cold(candidate.view, now_s):
-            account.reserved.append((False, now_s + cold_module.WINDOW_S))
+        if not self.needs_grant(candidate, now_s):
+            if candidate.view.cold_per_s:
+                self._account(candidate).reserved.append(
+                    (False, now_s + cold_module.WINDOW_S)
+                )
             return
+        account = self._account(candidate)
         for index, expiry_s in enumerate(account.grants):
             if expiry_s > now_s + SEND_MARGIN_S:
                 account.reserved.append((True, account.grants.pop(index)))
                 return
+        if self._refill_unguided(candidate, now_s) >= 1:
+            account.unguided -= 1
+            account.reserved.append((True, now_s + cold_module.GRANT_LIFE_S))
 
     def may_send(self, candidate: candidates_module.Candidate) -> bool:
         """Return whether a request may be sent now; if so, count it.
@@ -210,18 +304,18 @@
         Called just before the request is sent, since the process may have been
         paused, or the server may have turned cold, after the reservation.
         """
-        if not candidate.view.cold_per_s:
-            return True
         now_s = self.clock()
+        needs_grant = self.needs_grant(candidate, now_s)
+        if not needs_grant and not candidate.view.cold_per_s:
+            return True
         account = self._account(candidate)
         account.expire(now_s)
-        is_cold = account.is_cold(candidate.view, now_s)
         reservation = next(
-            (each for each in account.reserved if each[0] is is_cold), None
+            (each for each in account.reserved if each[0] is needs_grant), None
         )
         if reservation is not None:
             account.reserved.remove(reservation)
-        if is_cold:
+        if needs_grant:
             if reservation is None and account.grants:
                 account.grants.pop(0)
             elif reservation is None:
@@ -234,6 +328,34 @@
         account.sent_s.append(now_s)
         return True
 
+    def _refill_unguided(
+        self, candidate: candidates_module.Candidate, now_s: float
+    ) -> float:
+        """Return the requests that a limited server may get without a leader.
+
+        The rate begins anew, from nothing, each time the leader is lost.
+        """
+        account = self._account(candidate)
+        lost_s = self.view_s + CONTACT_S
+        if now_s <= lost_s or self.is_cold(candidate, now_s):
+            return 0.0
+        if account.unguided_since_s < lost_s:
+            account.unguided, account.unguided_since_s = 0.0, lost_s
+        elapsed_s = now_s - account.unguided_since_s
+        per_s = self._unguided_per_s(candidate, now_s)
+        account.unguided = min(1.0, account.unguided + per_s * elapsed_s)
+        account.unguided_since_s = now_s
+        return account.unguided
+
+    def _unguided_per_s(
+        self, candidate: candidates_module.Candidate, now_s: float
+    ) -> float:
+        limit_per_s = self.limit_per_s(candidate, now_s)
+        if limit_per_s == messages.NO_LIMIT:
+            return 0.0
+        per_s = named_limits.served_per_s(limit_per_s)
+        return per_s * cold_module.UNGUIDED_FRACTION / max(1, self.gateways)
+
     # What is asked for, and what to expect.
 
     def wanted(
@@ -241,8 +363,8 @@
     ) -> messages.ColdReport | None:
         """Return what the report with this sequence asks for.
 
-        It names each cold server that this gateway knows, since the leader
-        must know which gateways take a server for warm.
+        It names each cold or limited server that this gateway knows, since the
+        leader must know which gateways take a server for warm.
         """
         now_s = self.clock()
         self.reports_s = {
@@ -253,7 +375,7 @@
         self._trim()
         by_model: dict[tuple[str, str], list[candidates_module.Candidate]] = {}
         for candidate in self.candidates.by_backend.values():
-            if self.is_cold(candidate, now_s):
+            if self.needs_grant(candidate, now_s):
                 view = candidate.view
                 by_model.setdefault((view.service, view.model), []).append(
                     candidate
@@ -263,7 +385,7 @@
             return None
         self.reports_s[sequence] = now_s
         wanted = []
-        for service_model, cold in by_model.items():
+        for service_model, limited in by_model.items():
             callers = sum(
                 each.demand.service_model == service_model
                 for each in admission.waiting
@@ -273,13 +395,14 @@
             callers += math.floor(
                 self.callers_per_s.get(service_model, 0.0) * HORIZON_S
             )
-            for candidate in cold:
+            for candidate in limited:
                 account = self._account(candidate)
                 account.expire(now_s)
                 callers -= len(account.grants)
-            each_wants, more = divmod(max(0, callers), len(cold))
-            first = sequence % len(cold)
-            for index, candidate in enumerate((*cold[first:], *cold[:first])):
+            each_wants, more = divmod(max(0, callers), len(limited))
+            first = sequence % len(limited)
+            turns = (*limited[first:], *limited[:first])
+            for index, candidate in enumerate(turns):
                 requests = each_wants + (index < more)
                 wanted.append(self._want(candidate, requests, now_s))
         return messages.ColdReport(tuple(wanted), self.gateways)
@@ -300,8 +423,17 @@
             cold_ms=round(max(0.0, answered_s) * 1000),
         )
 
+    def statements(self) -> tuple[messages.ServerLimit, ...]:
+        """Return what listed servers have said of their limits."""
+        now_s = self.clock()
+        return tuple(
+            said
+            for candidate in self.candidates.by_backend.values()
+            if (said := self.limits.report(candidate.lifetime, now_s))
+        )
+
     def ask(self) -> None:
-        """Report soon that a caller waits for a cold server."""
+        """Report soon that a caller waits for a cold or limited server."""
         now_s = self.clock()
         if now_s - self.asked_s >= REPORT_PAUSE_S:
             self.asked_s = now_s
@@ -313,21 +445,37 @@
         """Return whether grants or the share, not slots, are missing."""
         return (
             candidate.total < candidate.view.slots
-            and bool(candidate.view.cold_per_s)
+            and self.has_rate(candidate, now_s)
             and not self.allows(candidate, now_s)
         )
 
+    def has_rate(
+        self, candidate: candidates_module.Candidate, now_s: float
+    ) -> bool:
+        """Return whether a server gets at most some requests a second."""
+        return bool(candidate.view.cold_per_s) or self.needs_grant(
+            candidate, now_s
+        )
+
     def rate_per_s(
         self, candidate: candidates_module.Candidate, now_s: float
     ) -> float:
         """Return the rate at which a limited server may get requests."""
-        if not self.is_cold(candidate, now_s):
+        if not self.needs_grant(candidate, now_s):
             return self._share(candidate)
         account = self._account(candidate)
         account.expire(now_s)
         expected = 0.0
+        limit_per_s = self.limit_per_s(candidate, now_s)
         if now_s - self.view_s < CONTACT_S:
-            expected = candidate.view.cold_per_s / self.gateways
+            per_s = []
+            if self.is_cold(candidate, now_s):
+                per_s.append(candidate.view.cold_per_s)
+            if limit_per_s != messages.NO_LIMIT:
+                per_s.append(named_limits.served_per_s(limit_per_s))
+            expected = min(per_s) / self.gateways
+        elif not self.is_cold(candidate, now_s):
+            expected = self._unguided_per_s(candidate, now_s)
         return max(expected, len(account.received_s) / cold_module.WINDOW_S)
 
     def cold_left_s(
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -473,12 +473,12 @@
         try:
             async with asyncio.timeout(limit_s):
                 answer = await client.answer()
+                self.record_head(attempt, answer)
                 body = await client.read_all()
         except TimeoutError as error:
             attempt.candidate.mark_failed(time.monotonic())
             self.pace.record_answer(attempt, call)
             raise AttemptError(Failure.UNKNOWN, "no answer in time") from error
-        self.record_head(attempt.candidate, answer)
         self.check_answer(call, answer)
         if answer.status >= 500 and call.is_repeatable:
             failed = AttemptError(Failure.UNKNOWN, f"status {answer.status}")
@@ -489,12 +489,17 @@
             self.pace.record_answer(attempt, call)
         await self.send_answer(call, answer, body)
 
-    def record_head(
-        self, candidate: candidates_module.Candidate, answer: http.Answer
-    ) -> None:
+    def record_head(self, attempt: Attempt, answer: http.Answer) -> None:
         """Record what the head of an answer tells about its server."""
         now_s = time.monotonic()
+        candidate = attempt.candidate
         candidate.mark_alive(now_s)
+        if self._is_from_server(attempt, answer):
+            self.admission.cold.record_limit(
+                candidate,
+                answer.values(self.header_names.limit),
+                attempt.started_s,
+            )
         cold = answer.header(self.header_names.cold)
         self.admission.cold.record_answer(candidate, cold)
         notices = candidate.notices
@@ -504,6 +509,14 @@
             wait = answer.header(b"retry-after")
             notices.record_wait(candidate.lifetime, wait, now_s)
 
+    def _is_from_server(self, attempt: Attempt, answer: http.Answer) -> bool:
+        """Return whether an answer is the server's, and to this request.
+
+        Another server at its address answers 421.
+        """
+        answered_id = answer.header(self.header_names.request_id)
+        return answer.status != 421 and answered_id == attempt.request_id
+
     def check_answer(self, call: direct_call.Call, answer: http.Answer) -> None:
         """Check that an answer is the backend server's, and to this call.
 
@@ -678,7 +691,7 @@
         """Forward events until the stream ends; raise if it breaks."""
         attempt.meter = self.forwarder.pace.begin(attempt, self.call)
         answer = await client.answer()
-        self.forwarder.record_head(attempt.candidate, answer)
+        self.forwarder.record_head(attempt, answer)
         self.forwarder.check_answer(self.call, answer)
         if answer.status != 200:
             await self._send_failure(answer, await _read_failure(client))
--- a/src/flamingocleat/request/header_names.py
+++ b/src/flamingocleat/request/header_names.py
@@ -28,3 +28,6 @@
     urgency: bytes = b"flamingocleat-urgency"
     cold: bytes = b"flamingocleat-cold-ms"
     """In an answer: for how long the server stays cold, in ms."""
+    limit: bytes = b"flamingocleat-limit"
+    """In an answer: the requests per second that the server takes from all
+    gateways together."""
--- a/src/flamingocleat/version/cold.py
+++ b/src/flamingocleat/version/cold.py
@@ -1,8 +1,10 @@
-"""Rate limit on cold servers over all gateways; the leader's side.
+"""Rates of cold and limited servers over all gateways; the leader's side.
 
 A server that has just started tolerates only a rate of requests while it is
-cold. The leader grants requests to gateways so that their sum stays below the
-bound in every sliding second. The design is in docs/design/cold-servers.md.
+cold, and a server in need names a limit. The leader grants requests to
+gateways so that their sum stays within the rate, and below the bound of a cold
+server in every sliding second. The design is in docs/design/cold-servers.md
+and docs/design/named-limits.md.
 """
 
 import collections.abc
@@ -46,8 +48,16 @@
 """How long an absent gateway is taken into account; it may still send to
 servers that it believes to be warm."""
 
+UNGUIDED_FRACTION = 0.5
+"""Part of its equal share of a named limit that a gateway without a leader
+uses."""
+NAMED_BURST_S = 0.5
+MIN_NAMED_BURST = 2.0
+"""Unused rate of a named limit that is kept, as time and as requests."""
+
 _GRANTED = prometheus_client.Counter(
-    "flamingocleat_cold_grants", "Requests to cold servers that were granted"
+    "flamingocleat_cold_grants",
+    "Requests to cold and limited servers that were granted",
 )
 _COLD_SERVERS = prometheus_client.Gauge(
     "flamingocleat_cold_servers", "Listed servers that count as cold"
@@ -88,12 +98,46 @@
     return min(engine.slots, max(1, in_flight))
 
 
-class _Server:
-    """Account of one cold server."""
+class Rate(msgspec.Struct, frozen=True):
+    """How many requests a server gets from all gateways."""
+
+    per_s: float
+    depth: float
+    """Requests of unused rate that are kept."""
+    cold_per_s: float = 0.0
+    """The rate that the bound of a cold server follows from; 0 if it is not
+    cold, and the rate alone limits it."""
+
+
+def cold_rate(per_s: float, bounds: ColdBounds) -> Rate:
+    """Return the rate of a cold server."""
+    depth = max(1.0, per_s * BURST_S + bounds.slack)
+    return Rate(per_s, depth, cold_per_s=per_s)
+
+
+def named_rate(per_s: float) -> Rate:
+    """Return the rate of a server that names a limit."""
+    return Rate(per_s, max(MIN_NAMED_BURST, per_s * NAMED_BURST_S))
 
-    def __init__(self, per_s: float, now_s: float) -> None:
-        self.per_s = per_s
-        self.tokens = 0.0
+
+def lower_rate(one: Rate, other: Rate) -> Rate:
+    """Return the lower of two rates, with the bound of either."""
+    return Rate(
+        min(one.per_s, other.per_s),
+        min(one.depth, other.depth),
+        max(one.cold_per_s, other.cold_per_s),
+    )
+
+
+class _Server:
+    """Account of one cold or limited server."""
+
+    def __init__(self, rate: Rate, now_s: float) -> None:
+        self.rate: Rate | None = rate
+        """None if it is neither cold nor limited any more."""
+        # The tokens of two leaders, or of a limit that is named again, would
+        # add up; a cold server's bound is kept by its charges.
+        self.tokens = rate.depth if rate.cold_per_s else 0.0
         self.updated_s = now_s
         self.charges: list[tuple[float, int]] = []
         """Grants that count against the bound: end of the charge, requests."""
@@ -102,12 +146,21 @@
         self.passes: dict[ids.EntryId, float] = {}
         """Requests given to each gateway, divided by what it asked for."""
 
-    def refill(self, now_s: float, depth: float) -> None:
+    def refill(self, rate: Rate, now_s: float) -> None:
         """Add the rate of the time since the last call."""
         elapsed_s = max(0.0, now_s - self.updated_s)
-        self.tokens = min(depth, self.tokens + self.per_s * elapsed_s)
+        self.tokens = min(rate.depth, self.tokens + rate.per_s * elapsed_s)
         self.updated_s = now_s
 
+    def may_grant(self, is_settled: bool) -> bool:
+        """Return whether a leader may grant that may not be the only one.
+
+        A rate without a bound needs no wait, since it starts without tokens.
+        """
+        return self.rate is not None and (
+            is_settled or not self.rate.cold_per_s
+        )
+
     def charged(self, now_s: float) -> int:
         """Return the granted requests that later ones may meet in a second."""
         self.charges = [each for each in self.charges if each[0] >= now_s]
@@ -131,7 +184,7 @@
 
 
 class Grants:
-    """Divides the rate of each cold server among the gateways."""
+    """Divides the rate of each cold or limited server among the gateways."""
 
     def __init__(
         self,
@@ -161,33 +214,35 @@
 
     def set_servers(
         self,
-        cold: collections.abc.Mapping[ids.BackendId, float],
+        rates: collections.abc.Mapping[ids.BackendId, Rate],
         warm: collections.abc.Iterable[ids.BackendId],
         now_s: float,
     ) -> None:
-        """Set the cold servers with their rates, and the warm ones.
+        """Set the rates of cold and limited servers, and the warm ones.
 
-        The account of a server that is no longer cold is kept until nothing
+        The account of a server that has no rate any more is kept until nothing
         is charged, since the server may turn cold again at once.
         """
         for backend in warm:
             self.warm_listed_s[backend] = now_s
-        for backend, per_s in cold.items():
+        for backend, rate in rates.items():
             server = self.servers.get(backend)
-            is_new = server is None
             if server is None:
-                self.servers[backend] = server = _Server(per_s, now_s)
-                server.tokens = self._depth(per_s)
-            if is_new or not server.per_s:
+                self.servers[backend] = server = _Server(rate, now_s)
+                was_cold = False
+            else:
+                was_cold = bool(server.rate and server.rate.cold_per_s)
+            if rate.cold_per_s and not was_cold:
                 self._charge_last_window(backend, now_s)
-            server.per_s = per_s
-        for backend in [each for each in self.servers if each not in cold]:
+            server.rate = rate
+        for backend in [each for each in self.servers if each not in rates]:
             if not self.servers[backend].charged(now_s):
                 del self.servers[backend]
             else:
                 self.servers[backend].allotted.clear()
-                self.servers[backend].per_s = 0.0
-        _COLD_SERVERS.set(len(cold))
+                self.servers[backend].rate = None
+        cold = sum(bool(rate.cold_per_s) for rate in rates.values())
+        _COLD_SERVERS.set(cold)
         self.allot(now_s)
 
     def record_report(
@@ -195,8 +250,9 @@
     ) -> None:
         """Record what a gateway asks for and which servers it knows."""
         gateway = self.gateways.setdefault(report.gateway, _Gateway())
-        for backend in self.servers:
-            self._charge_warm(gateway, backend, now_s)
+        for backend, server in self.servers.items():
+            if server.rate is None or server.rate.cold_per_s:
+                self._charge_warm(gateway, backend, now_s)
         gateway.sequence = report.sequence
         gateway.received_s = now_s
         cold = report.cold_wanted or messages.ColdReport(gateways=0)
@@ -223,11 +279,10 @@
             for name, gateway in self.gateways.items()
             if now_s - gateway.received_s < FORGET_GATEWAY_S
         }
-        if not self._may_grant(now_s):
-            return
+        has_quorum, is_settled = self._check_quorum(now_s)
         given: set[ids.EntryId] = set()
         for backend, server in self.servers.items():
-            if server.per_s:
+            if server.rate and has_quorum and server.may_grant(is_settled):
                 given |= self._allot_server(backend, server, now_s)
         for name in given:
             self.notify(name)
@@ -241,33 +296,35 @@
         if gateway is None or not gateway.wanted:
             return 0, ()
         end_s = gateway.received_s + GRANT_LIFE_S
-        is_usable = self._may_grant(now_s) and now_s + MIN_USE_S < end_s
+        has_quorum, is_settled = self._check_quorum(now_s)
+        is_in_time = has_quorum and now_s + MIN_USE_S < end_s
         grants = []
         for backend, server in self.servers.items():
             requests = server.allotted.pop(name, 0)
             if not requests:
                 continue
             granted = 0
-            if is_usable:
+            if server.rate and is_in_time and server.may_grant(is_settled):
                 # The room may have shrunk since the division.
-                room = self._room(backend, server, now_s)
-                granted = max(0, min(requests, room))
+                room = self._room(backend, server.rate, now_s)
+                granted = int(max(0, min(requests, room)))
             server.tokens += requests - granted
             if granted:
-                server.charges.append((end_s + WINDOW_S, granted))
+                if server.rate and server.rate.cold_per_s:
+                    server.charges.append((end_s + WINDOW_S, granted))
                 grants.append(messages.ColdGrant(backend, granted))
                 _GRANTED.inc(granted)
         return gateway.sequence, tuple(grants)
 
-    def _depth(self, per_s: float) -> float:
-        return max(1.0, per_s * BURST_S + self.bounds.slack)
+    def _check_quorum(self, now_s: float) -> tuple[bool, bool]:
+        """Return whether a quorum follows, and no earlier grants are left.
 
-    def _may_grant(self, now_s: float) -> bool:
-        """Return whether no other leader can grant at the same time."""
+        Without a quorum, another leader may grant at the same time.
+        """
         contact_s = self.quorum_contact_s()
-        may_grant = (
-            now_s >= self.grants_from_s and now_s - contact_s < CONTACT_S
-        )
+        has_quorum = now_s - contact_s < CONTACT_S
+        is_settled = now_s >= self.grants_from_s
+        may_grant = has_quorum and is_settled
         if self.was_withheld is may_grant:
             self.was_withheld = not may_grant
             logs.info(
@@ -276,13 +333,14 @@
                 starts_in_s=round(max(0.0, self.grants_from_s - now_s), 3),
                 contact_age_s=round(min(1e6, now_s - contact_s), 3),
             )
-        return may_grant
+        return has_quorum, is_settled
 
     def _allot_server(
         self, backend: ids.BackendId, server: _Server, now_s: float
     ) -> set[ids.EntryId]:
         """Divide what one server may get; return who was given any."""
-        server.refill(now_s, self._depth(server.per_s))
+        assert server.rate is not None
+        server.refill(self._guided_rate(server.rate, now_s), now_s)
         wanted = {
             name: gateway.wanted[backend]
             for name, gateway in self.gateways.items()
@@ -291,9 +349,9 @@
         }
         for name in [each for each in server.allotted if each not in wanted]:
             server.tokens += server.allotted.pop(name)
-        room = self._room(backend, server, now_s)
-        room -= sum(server.allotted.values())
-        room = min(room, int(server.tokens))
+        free = self._room(backend, server.rate, now_s)
+        free -= sum(server.allotted.values())
+        room = int(min(free, server.tokens))
         if room <= 0 or not wanted:
             return set()
         # Weighted fair sharing; gateways that ask anew start at the lowest.
@@ -321,24 +379,42 @@
         server.passes = passes
         return given
 
-    def _room(
-        self, backend: ids.BackendId, server: _Server, now_s: float
-    ) -> int:
-        """Return how many more requests may be granted now."""
-        bound = self.bounds.per_window(server.per_s)
-        known = len(self.gateways)
-        gateways = max(
+    def _gateways(self) -> int:
+        """Return how many gateways there are, as far as any has heard."""
+        heard = max(
             (each.gateways for each in self.gateways.values()), default=0
         )
-        gateways = max(known, gateways)
-        share = self.bounds.warm_share(server.per_s, gateways)
+        return max(len(self.gateways), heard)
+
+    def _guided_rate(self, rate: Rate, now_s: float) -> Rate:
+        """Return the rate less what gateways without a leader use of it."""
+        gateways = self._gateways()
+        if rate.cold_per_s or not gateways:
+            return rate
+        present = sum(
+            now_s - each.received_s <= ABSENT_AFTER_S
+            for each in self.gateways.values()
+        )
+        absent = (gateways - present) / gateways
+        return msgspec.structs.replace(
+            rate, per_s=rate.per_s * (1 - UNGUIDED_FRACTION * absent)
+        )
+
+    def _room(self, backend: ids.BackendId, rate: Rate, now_s: float) -> float:
+        """Return how many more requests the bound of a cold server allows."""
+        if not rate.cold_per_s:
+            return math.inf
+        bound = self.bounds.per_window(rate.cold_per_s)
+        known = len(self.gateways)
+        gateways = self._gateways()
+        share = self.bounds.warm_share(rate.cold_per_s, gateways)
         # Gateways that have not connected yet may take the server for warm.
         unguided = share * (gateways - known)
         for gateway in self.gateways.values():
             self._charge_warm(gateway, backend, now_s)
             if gateway.warm_until_s.get(backend, float("-inf")) >= now_s:
                 unguided += share
-        return bound - server.charged(now_s) - unguided
+        return bound - self.servers[backend].charged(now_s) - unguided
 
     def _charge_last_window(self, backend: ids.BackendId, now_s: float) -> None:
         """Charge what gateways sent before they knew that a server is cold."""
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -110,8 +110,8 @@
         self.holders: collections.Counter[str] = collections.Counter()
         """Number of idle VMs known to hold a model's weights, as of the last
         step."""
-        self.cold_per_s: dict[ids.BackendId, float] = {}
-        """Rates of the listed heads that are cold."""
+        self.limited_per_s: dict[ids.BackendId, float] = {}
+        """Rates of the listed heads that are cold or limited."""
         self.has_traffic = False
         """Whether requests have arrived; only then are loads rate-limited."""
         self.unread: list[fleet_module.Backend] = []
@@ -137,8 +137,8 @@
         return formation.capacity(self.engine, spans=self._spans_domains(group))
 
     def capacity(self, group: Group) -> int:
-        """Return the slots that a group can fill, which a cold rate limits."""
-        slots, per_s = self.slots(group), self.cold_per_s.get(group.head)
+        """Return the slots that a group can fill, which a rate may limit."""
+        slots, per_s = self.slots(group), self.limited_per_s.get(group.head)
         if per_s and self.engine is not None:
             pace = self.pace(group)
             slots = min(slots, cold.cold_slots(self.engine, pace, per_s))
--- a/src/flamingocleat/version/cold_servers.py
+++ b/src/flamingocleat/version/limited_servers.py
@@ -1,8 +1,9 @@
-"""Which of the listed servers are cold, as the leader knows it."""
+"""Which of the listed servers are cold or limited, as the leader knows it."""
 
 import collections.abc
 
 import msgspec
+import prometheus_client
 
 from flamingocleat import ids
 from flamingocleat import messages
@@ -10,9 +11,17 @@
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import cold as cold_module
 from flamingocleat.version import fleet as fleet_module
+from flamingocleat.version import named_limits
 
 _log = logs.logger("cold")
 
+_LIMITED_SERVERS = prometheus_client.Gauge(
+    "flamingocleat_limited_servers", "Listed servers that name a limit"
+)
+
+RETELL_FRACTION = 0.1
+"""Gateways are told a new limit if it differs by more than this fraction."""
+
 MADE_AFTER_S = 0.3
 """An announcement counts as made after a server was listed if it arrives this
 much later. Announcements name no time; usually they travel for 3 ms, or 0.2 s
@@ -45,11 +54,14 @@
     told_ms: int = 0
 
 
-class ColdServers:
-    """Marks cold servers in the list that gateways receive."""
+class LimitedServers:
+    """Marks cold and limited servers in the list that gateways receive."""
 
     def __init__(self, grants: cold_module.Grants) -> None:
         self.grants = grants
+        self.limits = named_limits.NamedLimits()
+        self.told_limits: dict[ids.Lifetime, float] = {}
+        """Limits of listed servers that gateways are told."""
         self.statuses: dict[ids.BackendId, _Status] = {}
         self.has_listed = False
         """Whether a complete list was made in this term."""
@@ -57,29 +69,40 @@
     def begin(self, now_s: float) -> None:
         """Start a leader's term."""
         self.statuses.clear()
+        self.limits.clear()
+        self.told_limits.clear()
         self.has_listed = False
         self.grants.begin(now_s)
 
-    def cold_per_s(self) -> dict[ids.BackendId, float]:
-        """Return the rates of the servers that were cold in the last list."""
+    def rates_per_s(self) -> dict[ids.BackendId, float]:
+        """Return the rates of cold and limited servers in the last list."""
         return {
-            backend: server.per_s
+            backend: server.rate.per_s
             for backend, server in self.grants.servers.items()
-            if server.per_s
+            if server.rate is not None
         }
 
     def record_report(
         self, report: messages.GatewayReport, now_s: float
-    ) -> None:
-        """Record what a gateway's report says of cold servers."""
+    ) -> bool:
+        """Record what a gateway's report says of cold and limited servers.
+
+        Returns:
+            Whether the list has to be marked anew.
+        """
+        has_changed = False
+        for said in report.limits:
+            if self.limits.merge(said, now_s):
+                has_changed = True
         cold = report.cold_wanted
         for each in cold.servers if cold else ():
             status = self.statuses.get(each.backend)
             if each.cold_ms > 0 and status is not None:
                 until_s = now_s + each.cold_ms / 1000
                 status.answered_until_s = max(status.answered_until_s, until_s)
-        if self.statuses:
+        if self.statuses or self.grants.servers:
             self.grants.record_report(report, now_s)
+        return has_changed
 
     def mark(
         self,
@@ -90,7 +113,7 @@
         *,
         is_complete: bool,
     ) -> tuple[messages.ServedBackend, ...]:
-        """Return a list of servers with their cold times.
+        """Return a list of servers with their cold times and limits.
 
         Args:
             served: The servers that gateways may use.
@@ -100,16 +123,34 @@
             is_complete: False while not all servers have announced themselves
                 to a new leader, which cannot tell which ones are newly listed.
         """
+        marked = self._mark_cold(
+            tuple(served), catalog, fleet, now_s, is_complete=is_complete
+        )
+        marked = self._mark_limited(marked)
+        self.grants.set_servers(
+            self._rates(marked),
+            [e.backend for e in marked if e.cold_per_s and not e.cold_ms],
+            now_s,
+        )
+        return marked
+
+    def _mark_cold(
+        self,
+        served: tuple[messages.ServedBackend, ...],
+        catalog: catalog_module.Catalog | None,
+        fleet: fleet_module.Fleet,
+        now_s: float,
+        *,
+        is_complete: bool,
+    ) -> tuple[messages.ServedBackend, ...]:
         rated = {
             service.name: service
             for service in (catalog.services if catalog else ())
             if service.cold_per_s > 0
         }
         if not rated:
-            if self.statuses:
-                self.statuses.clear()
-                self.grants.set_servers({}, (), now_s)
-            return tuple(served)
+            self.statuses.clear()
+            return served
         before, self.statuses = self.statuses, {}
         marked = []
         for each in served:
@@ -124,13 +165,60 @@
                 )
             marked.append(each)
         self.has_listed = self.has_listed or is_complete
-        self.grants.set_servers(
-            {e.backend: e.cold_per_s for e in marked if e.cold_ms},
-            [e.backend for e in marked if e.cold_per_s and not e.cold_ms],
-            now_s,
-        )
         return tuple(marked)
 
+    def _mark_limited(
+        self, served: tuple[messages.ServedBackend, ...]
+    ) -> tuple[messages.ServedBackend, ...]:
+        before, self.told_limits = self.told_limits, {}
+        marked = []
+        for each in served:
+            lifetime = ids.Lifetime(each.backend, each.born_ms)
+            told = before.get(lifetime, messages.NO_LIMIT)
+            said = self.limits.find(lifetime)
+            per_s = said.per_s if said is not None else messages.NO_LIMIT
+            if min(told, per_s) >= 0 and (
+                abs(per_s - told) <= RETELL_FRACTION * told
+            ):
+                per_s = told
+            if per_s != messages.NO_LIMIT:
+                self.told_limits[lifetime] = per_s
+                each = msgspec.structs.replace(each, limit_per_s=per_s)
+            if (per_s != messages.NO_LIMIT) != (told != messages.NO_LIMIT):
+                logs.info(
+                    _log,
+                    "server_limited"
+                    if per_s != messages.NO_LIMIT
+                    else "server_limit_lifted",
+                    backend=each.backend,
+                    born=each.born_ms,
+                    per_s=per_s if per_s != messages.NO_LIMIT else told,
+                )
+            marked.append(each)
+        _LIMITED_SERVERS.set(len(self.told_limits))
+        return tuple(marked)
+
+    def _rates(
+        self, marked: tuple[messages.ServedBackend, ...]
+    ) -> dict[ids.BackendId, cold_module.Rate]:
+        """Return the rates of all servers that have one."""
+        rates: dict[ids.BackendId, cold_module.Rate] = {}
+        for each in marked:
+            if each.cold_ms:
+                rates[each.backend] = cold_module.cold_rate(
+                    each.cold_per_s, self.grants.bounds
+                )
+            said = self.limits.find(ids.Lifetime(each.backend, each.born_ms))
+            if said is not None and said.is_limit:
+                named = cold_module.named_rate(
+                    named_limits.served_per_s(said.per_s)
+                )
+                cold = rates.get(each.backend)
+                rates[each.backend] = (
+                    cold_module.lower_rate(cold, named) if cold else named
+                )
+        return rates
+
     def _status(
         self,
         known: _Status | None,
--- a/tests/direct/cold_load.py
+++ b/tests/direct/cold_load.py
@@ -1,4 +1,4 @@
-"""Simulates gateways, leaders and cold servers in virtual time.
+"""Simulates gateways, leaders, cold and limited servers in virtual time.
 
 Runs the decisions of both sides, `cold.Grants` and `Admission`, with delayed,
 lost and late messages between them, and records when servers get requests.
@@ -8,7 +8,9 @@
 import collections.abc
 import heapq
 import itertools
+import math
 import random
+import typing
 
 import msgspec
 
@@ -17,11 +19,13 @@
 from flamingocleat.version import candidates
 from flamingocleat.version import catalog
 from flamingocleat.version import cold
-from flamingocleat.version import cold_servers
 from flamingocleat.version import fleet
+from flamingocleat.version import limited_servers
 
 BOUNDS = cold.ColdBounds(1.5, 5.0)
 PER_S = 28.0
+TOLD_S = 0.5
+"""Time after which a gateway that has passed on a limit must heed it."""
 INTERVAL_S = 0.2
 REVIEW_S = 0.1
 ANNOUNCE_S = 1.2
@@ -46,6 +50,19 @@
     """Time from the reservation of a slot to the send."""
     request_s: float = 0.6
     slots: int = 24
+    configuration: catalog.Catalog = CATALOG
+    head_s: tuple[float, float] = (0.02, 0.3)
+    """Time from a request until the head of its answer is made, and from then
+    until it arrives."""
+
+
+class Arrival(typing.NamedTuple):
+    """A request that reached a limited server."""
+
+    at_s: float
+    gateway: str
+    is_told: bool
+    """Whether the gateway had passed on an answer with a limit before."""
 
 
 class Server:
@@ -61,6 +78,15 @@
         self.group = "g-1"
         self.sent_s: list[float] = []
         """When gateways sent it requests while it was cold."""
+        self.limits: list[tuple[float, float | None]] = []
+        """When it began to name which limit; None if it names none."""
+        self.told_s: dict[str, float] = {}
+        """When each gateway first passed on an answer with a limit."""
+        self.arrivals: list[Arrival] = []
+
+    @property
+    def limit_per_s(self) -> float | None:
+        return self.limits[-1][1] if self.limits else None
 
 
 class Leader:
@@ -73,7 +99,7 @@
         self.contact_s = world.now_s
         self.fleet = fleet.Fleet()
         self.grants = cold.Grants(BOUNDS, lambda: self.contact_s, self.notify)
-        self.servers = cold_servers.ColdServers(self.grants)
+        self.servers = limited_servers.LimitedServers(self.grants)
         self.began_s = world.now_s
         self.servers.begin(world.now_s)
         self.listed: tuple[messages.ServedBackend, ...] = ()
@@ -104,7 +130,11 @@
         ]
         is_complete = now_s - self.began_s > 1.8
         listed = self.servers.mark(
-            served, CATALOG, self.fleet, now_s, is_complete=is_complete
+            served,
+            self.world.settings.configuration,
+            self.fleet,
+            now_s,
+            is_complete=is_complete,
         )
         if listed != self.listed:
             self.listed = listed
@@ -130,7 +160,8 @@
     def receive(self, report: messages.GatewayReport) -> None:
         """Take a gateway's report."""
         self.connected.add(report.gateway)
-        self.servers.record_report(report, self.world.now_s)
+        if self.servers.record_report(report, self.world.now_s):
+            self.world.after(0.0, self.review)
 
 
 class Gateway:
@@ -205,7 +236,11 @@
         waiting[:] = [_Waiting(self.demand())] * min(64, len(self.queue))
         wanted = self.admission.cold.wanted(report.sequence, self.admission)
         waiting.clear()
-        report = msgspec.structs.replace(report, cold_wanted=wanted)
+        report = msgspec.structs.replace(
+            report,
+            cold_wanted=wanted,
+            limits=self.admission.cold.statements(),
+        )
         leader = self.leader
         self.world.send(lambda: leader.receive(report))
 
@@ -248,11 +283,35 @@
         now_s = self.world.now_s
         if now_s < server.cold_until_s:
             server.sent_s.append(now_s)
+        told_s = server.told_s.get(self.name, math.inf)
+        server.arrivals.append(
+            Arrival(now_s, self.name, told_s <= now_s - TOLD_S)
+        )
+        self.world.after(
+            self.world.random.uniform(*self.world.settings.head_s),
+            lambda: self._make_head(found, server, now_s),
+        )
         self.world.after(
             self.world.settings.request_s,
             lambda: self.run_when_awake(lambda: self._finish(found)),
         )
 
+    def _make_head(self, found, server: Server, sent_s: float) -> None:
+        """Let a server make the head of its answer, which names its limit."""
+        limit_per_s = server.limit_per_s
+        self.world.after(
+            self.world.random.uniform(*self.world.settings.head_s),
+            lambda: self.run_when_awake(
+                lambda: self._read_head(found, server, limit_per_s, sent_s)
+            ),
+        )
+
+    def _read_head(self, found, server, limit_per_s, sent_s) -> None:
+        values = [] if limit_per_s is None else [f"{limit_per_s:g}"]
+        if values:
+            server.told_s.setdefault(self.name, self.world.now_s)
+        self.admission.cold.record_limit(found, values, sent_s)
+
     def _finish(self, found: candidates.Candidate) -> None:
         server = self.world.servers[found.view.backend]
         left_s = server.cold_until_s - self.world.now_s
--- a/tests/direct/test_cold.py
+++ b/tests/direct/test_cold.py
@@ -16,8 +16,8 @@
 from flamingocleat.version import candidates
 from flamingocleat.version import catalog
 from flamingocleat.version import cold
-from flamingocleat.version import cold_servers
 from flamingocleat.version import fleet
+from flamingocleat.version import limited_servers
 from tests.direct import support
 from tests.direct import test_admission
 from tests.direct import test_feed
@@ -68,7 +68,7 @@
         self.grants = cold.Grants(
             BOUNDS, lambda: self.contact_s, lambda _gateway: None
         )
-        self.servers = cold_servers.ColdServers(self.grants)
+        self.servers = limited_servers.LimitedServers(self.grants)
         self.fleet = fleet.Fleet()
         self.servers.begin(0.0)
         self.mark(0.0, ())
@@ -96,7 +96,7 @@
     leader.fleet.announce(announcement(1, 3000), 10.0)
     assert leader.mark(10.0).cold_ms > 3000
     leader.fleet.announce(announcement(2, 2000), 11.0)
-    expected_ms = 2000 + cold_servers.HOLD_S * 1000
+    expected_ms = 2000 + limited_servers.HOLD_S * 1000
     assert leader.mark(11.0).cold_ms == expected_ms
     assert leader.mark(11.5).cold_ms == expected_ms, "a change for each view"
     assert leader.mark(11.5).cold_per_s == 28.0
@@ -243,7 +243,7 @@
     )
     leader.grants.record_report(other, 100.9)
     leader.grants.record_report(report(), 101.0)
-    room = leader.grants._room("h", leader.grants.servers["h"], 101.0)
+    room = leader.grants._room("h", leader.grants.servers["h"].rate, 101.0)
     assert room == BOUNDS.per_window(28.0) - BOUNDS.warm_share(28.0, 2)
 
 
@@ -599,7 +599,7 @@
     manager = simulation.manager
     group = manager.serving()[0]
     assert manager.capacity(group) == manager.slots(group)
-    manager.cold_per_s = {group.head: 1.0}
+    manager.limited_per_s = {group.head: 1.0}
     assert manager.capacity(group) < manager.slots(group)
 
 
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -166,6 +166,12 @@
         """Whether its streams write nothing for now."""
         self.slowness = 1.0
         """Factor on the times that its answers take."""
+        self.limit_per_s: float | None = None
+        """The limit that its answers name."""
+        self.limited_calls: list[tuple[float, str]] = []
+        """Time and id of the calls that reached it while it named a limit."""
+        self.limited_answers: list[tuple[float, str]] = []
+        """The same of its answers that named it."""
         self.restart_lock = asyncio.Lock()
         self.is_moving = False
         """Whether it is down, and will start at another address."""
@@ -200,6 +206,7 @@
         self.heartbeat_url = ""
         self.is_leaving = False
         self.arrivals_s = []
+        self.limit_per_s = None
         self.cold_until_s = time.monotonic()
         if self.service == "llm":
             self.cold_until_s += self.fleet.cold_s
@@ -372,6 +379,8 @@
         self.fleet.invariants.calls.append(
             (time.monotonic(), self.data_centre, request_id)
         )
+        if self.limit_per_s is not None:
+            self.limited_calls.append((time.monotonic(), request_id))
         if self.service == "llm":
             await self._stream(exchange)
         else:
@@ -590,14 +599,19 @@
         )
 
     def _echo(self, exchange: http.Exchange) -> http.Headers:
-        leaving = [(b"server-leaving", b"1")] if self.is_leaving else []
+        notices = [(b"server-leaving", b"1")] if self.is_leaving else []
         if self.cold_left_ms():
             left = str(self.cold_left_ms()).encode()
-            leaving.append((b"x-cold-remaining", left))
+            notices.append((b"x-cold-remaining", left))
+        if self.limit_per_s is not None:
+            limit = str(self.limit_per_s).encode()
+            notices.append((b"server-limit", limit))
+            request_id = exchange.header(b"x-request-id")
+            self.limited_answers.append((time.monotonic(), request_id))
         return [
             (b"x-request-id", exchange.header(b"x-request-id").encode()),
             (b"content-type", b"text/event-stream"),
-            *leaving,
+            *notices,
         ]
 
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -28,6 +28,7 @@
 from tests.platform import control_faults  # noqa: F401 (registers faults)
 from tests.platform import emulator
 from tests.platform import faults as faults_module
+from tests.platform import limit_faults  # noqa: F401 (registers faults)
 
 START_SCRIPT = pathlib.Path(__file__).with_name("start_linked.py")
 COORDINATORS = 3
@@ -341,6 +342,8 @@
         self.gateway_by_call: dict[str, str] = {}
         """Address of the gateway to which each call was made, by its id."""
         self.config_watch = config_watch.ConfigWatch(self)
+        self.limits_checked = 0
+        """Named limits whose arrivals were checked."""
         self.served = 0
         self.refused = 0
         self.injected: list[str] = []
@@ -383,8 +386,8 @@
             self.voter_links[source, target] = link
 
     def new_caller(self) -> Caller:
-        """Return a caller whose calls are not recorded."""
-        return Caller()
+        """Return a caller whose gateway is recorded with each call."""
+        return Caller(self.gateway_by_call)
 
     @property
     def servers(self) -> list[emulator.Server]:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.platform import control_faults
+from tests.platform import limit_faults
 from tests.platform import soak
 
 SEEDS = {
@@ -28,6 +29,7 @@
     "burst",
     "send_crowd",
     *control_faults.NEW_FAULTS,
+    *limit_faults.NEW_FAULTS,
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
@@ -38,6 +40,10 @@
 SEEDS_OF_COLD_FAULTS = {
     500: "never failed",
 }
+LIMIT_FAULTS = {"name_limits", "burst", "kill", "split_voters"}
+SEEDS_OF_LIMIT_FAULTS = {
+    700: "limited servers got what their slots took",
+}
 SEEDS_OF_CONTROL_FAULTS = {
     38100: "a change whose bytes are no text was acknowledged and obeyed",
     600: "never failed",
@@ -94,3 +100,12 @@
     result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
     check(result)
     assert result.config_watch.probes > 0
+
+
+@pytest.mark.parametrize("seed", sorted(SEEDS_OF_LIMIT_FAULTS))
+def test_servers_that_name_a_limit_get_no_more(tmp_path, seed):
+    """Limits are named beside killed and paused programs and bursts."""
+    faults = {name: soak.FAULTS[name] for name in LIMIT_FAULTS}
+    result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
+    check(result)
+    assert result.limits_checked > 0
