--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -110,6 +110,8 @@
         self.folder = soak.folder / self.node
         self.folder.mkdir()
         self.bootstrap = True
+        self.links: dict[str, str] = {}
+        """Proxies on its ways to voters, by the voters' addresses."""
         self.limits = {"memoryMb": MEMORY_MB}
         """Limits of its machine, in its settings."""
         self.process: asyncio.subprocess.Process | None = None
@@ -168,7 +170,7 @@
                 env={
                     **os.environ,
                     "FLAMINGOCLEAT_BOOT": str(path),
-                    "SOAK_LINKS": json.dumps(self.soak.links_of(self)),
+                    "SOAK_LINKS": json.dumps(self.links),
                     "SOAK_DISK_DELAY": str(self.disk_delay),
                 },
             )
@@ -363,17 +365,6 @@
         """The highest version that was acknowledged, or 0."""
         return max(0, self.config_watch.newest_acknowledged(time.monotonic()))
 
-    def links_of(self, program: Program) -> dict[str, str]:
-        """Return the addresses at which a program calls voters."""
-        if program not in self.coordinators:
-            return {}
-        source = self.coordinators.index(program)
-        return {
-            self.coordinators[target].address(VOTER_PORT): proxy.listen
-            for (caller, target), proxy in self.voter_links.items()
-            if caller == source
-        }
-
     async def _start_links(self) -> None:
         count = len(self.coordinators)
         pairs = [(i, j) for i in range(count) for j in range(count) if i != j]
@@ -384,6 +375,7 @@
             )
             await link.start()
             self.voter_links[source, target] = link
+            self.coordinators[source].links[link.target] = link.listen
 
     def new_caller(self) -> Caller:
         """Return a caller whose gateway is recorded with each call."""
