Let all answers that a gateway reads share a bounded room

Seen by other operators: a faulty server whose bytes do not end filled the memory of the machine that had called it, and other callers' requests ended with it.

Cause: each answer was bounded (4 MiB, an event 1 MiB), not their sum. Class: a bound for each of many that share the memory.

Change: answers and unfinished events are counted, and the largest makes way when the room is used up, so that usual answers pass.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -763,11 +763,24 @@
             return b""
         raise BrokenAnswerError(f"the body ended with {event!r}")
 
-    async def read_all(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
-        """Return the whole body; raise BrokenAnswerError."""
+    async def read_all(
+        self,
+        limit: int = MAX_ANSWER_BYTES,
+        count: collections.abc.Callable[[int], None] = lambda _size: None,
+    ) -> bytes:
+        """Return the whole body; raise BrokenAnswerError.
+
+        Args:
+            limit: Size of the largest body.
+            count: Called with the size of each part before the next is read;
+                it may close this client.
+        """
         body = bytearray()
         while data := await self.read():
             body += data
+            count(len(data))
+            if self.closed:
+                raise BrokenAnswerError("closed on this side")
             if len(body) > limit:
                 raise BrokenAnswerError("the answer is too large")
         return bytes(body)
--- a/src/flamingocleat/connection/intake.py
+++ b/src/flamingocleat/connection/intake.py
@@ -29,11 +29,16 @@
 MIN_AVAILABLE_MB = 16.0
 """Lower bound on the memory for callers, whatever the machine has."""
 BODY_FRACTION = 0.35
-"""Part of the memory for callers that large bodies may use. A quarter of that
-memory is not given out: it is for copies and fragmentation."""
+"""Part of the memory for callers that large bodies may use. What is not given
+out is for copies and fragmentation."""
 SMALL_FRACTION = 0.1
 ANSWER_FRACTION = 0.15
 CONNECTION_FRACTION = 0.25
+SERVER_ANSWER_FRACTION = 0.1
+"""Part of the memory for callers that answers of servers may use while they are
+read."""
+MIN_SERVER_ANSWER_BYTES = 4_194_304
+"""Lower bound on that memory: one answer of the largest size."""
 CONNECTION_BYTES = 12_288
 """Memory of a connection beside what it holds: its task, the parser and the
 write buffer below its limit."""
@@ -113,6 +118,7 @@
     body_bytes: int = 33_554_432
     small_bytes: int = 8_388_608
     answer_bytes: int = 16_777_216
+    server_answer_bytes: int = 16_777_216
     max_connections: int = 1000
 
     @classmethod
@@ -128,6 +134,10 @@
             body_bytes=round(available * BODY_FRACTION),
             small_bytes=round(available * SMALL_FRACTION),
             answer_bytes=round(available * ANSWER_FRACTION),
+            server_answer_bytes=max(
+                MIN_SERVER_ANSWER_BYTES,
+                round(available * SERVER_ANSWER_FRACTION),
+            ),
             max_connections=max(
                 MIN_CONNECTIONS,
                 min(
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -96,11 +96,10 @@
         self.forwarder.view_age_s = lambda: min(
             MAX_LOGGED_VIEW_AGE_S, time.monotonic() - self.subscriber.heard_s
         )
+        bounds = intake.Settings.for_gateway(settings)
+        self.forwarder.answer_room.room_bytes = bounds.server_answer_bytes
         self.server = http.Server(
-            self.forwarder.handle,
-            self.forwarder.limits,
-            intake.Settings.for_gateway(settings),
-            "gateway",
+            self.forwarder.handle, self.forwarder.limits, bounds, "gateway"
         )
         self.health = http.Server(
             self._answer_health, settings=intake.SIDE_SETTINGS
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -18,8 +18,10 @@
 from flamingocleat import errors
 from flamingocleat import ids
 from flamingocleat.connection import http
+from flamingocleat.connection import intake
 from flamingocleat.process import logs
 from flamingocleat.request import admission as admission_module
+from flamingocleat.request import answer_room
 from flamingocleat.request import budget as budget_module
 from flamingocleat.request import continuation
 from flamingocleat.request import crash_guard
@@ -155,6 +157,9 @@
         self.budget = budget
         self.guard = crash_guard.CrashGuard(crashes.CrashRecord())
         self.pace = pace_samples.PaceSamples()
+        self.answer_room = answer_room.AnswerRoom(
+            intake.Settings().server_answer_bytes
+        )
         self.catalog_index: catalog.CatalogIndex | None = None
         self.requests = 0
         self.view_age_s: collections.abc.Callable[[], float] = lambda: 0.0
@@ -465,6 +470,27 @@
         self, call: direct_call.Call, attempt: Attempt, client: http.Client
     ) -> None:
         """Forward an answer that is not a stream."""
+        with self.answer_room.hold(client.close) as held:
+            answer, body = await self._read_answer(call, attempt, client, held)
+            self.check_answer(call, answer)
+            if answer.status >= 500 and call.is_repeatable:
+                failed = AttemptError(
+                    Failure.UNKNOWN, f"status {answer.status}"
+                )
+                failed.answer = (answer, body)
+                raise failed
+            attempt.candidate.mark_succeeded()
+            if answer.status < 300:
+                self.pace.record_answer(attempt, call)
+            await self.send_answer(call, answer, body)
+
+    async def _read_answer(
+        self,
+        call: direct_call.Call,
+        attempt: Attempt,
+        client: http.Client,
+        held: answer_room.HeldAnswer,
+    ) -> tuple[http.Answer, bytes]:
         limit_s = call.remaining_s()
         if attempt.can_retry:
             limit_s = min(
@@ -474,20 +500,17 @@
             async with asyncio.timeout(limit_s):
                 answer = await client.answer()
                 self.record_head(attempt, answer)
-                body = await client.read_all()
+                return answer, await client.read_all(count=held.grow)
         except TimeoutError as error:
             attempt.candidate.mark_failed(time.monotonic())
             self.pace.record_answer(attempt, call)
             raise AttemptError(Failure.UNKNOWN, "no answer in time") from error
-        self.check_answer(call, answer)
-        if answer.status >= 500 and call.is_repeatable:
-            failed = AttemptError(Failure.UNKNOWN, f"status {answer.status}")
-            failed.answer = (answer, body)
-            raise failed
-        attempt.candidate.mark_succeeded()
-        if answer.status < 300:
-            self.pace.record_answer(attempt, call)
-        await self.send_answer(call, answer, body)
+        except http.BrokenAnswerError as error:
+            if held.has_ended:
+                raise http.BrokenAnswerError(
+                    f"no room for an answer of {held.held_bytes} bytes"
+                ) from error
+            raise
 
     def record_head(self, attempt: Attempt, answer: http.Answer) -> None:
         """Record what the head of an answer tells about its server."""
@@ -711,12 +734,27 @@
     ) -> None:
         content_type = answer.header(b"content-type")
         self.received.begin_answer(content_type)
+        with self.forwarder.answer_room.hold(client.close) as held:
+            await self._relay_parsed(attempt, client, answer, held)
+        self.received.end_answer()
+
+    async def _relay_parsed(
+        self,
+        attempt: Attempt,
+        client: http.Client,
+        answer: http.Answer,
+        held: answer_room.HeldAnswer,
+    ) -> None:
+        content_type = answer.header(b"content-type")
         parser = events.EventParser(needs_ids=self.call.route.resumable)
         while data := await client.read():
             try:
                 found = parser.feed(data)
             except ValueError as error:
                 raise http.BrokenAnswerError(str(error)) from error
+            held.resize(len(parser.buffer))
+            if held.has_ended:
+                raise http.BrokenAnswerError("no room for an event")
             if any(event.has_fields for event in found):
                 now_s = time.monotonic()
                 attempt.candidate.mark_alive(now_s)
@@ -728,7 +766,6 @@
             await self._send(answer, self.received.add(found, content_type))
         if parser.buffer:
             raise http.BrokenAnswerError("the stream ends within an event")
-        self.received.end_answer()
 
     async def _send_failure(self, answer: http.Answer, body: bytes) -> None:
         if self.call.exchange.started:
