Divide the rates of limited servers in time that follows what is asked for

A division looked at each gateway for each server, and a view at each server. Cold servers are few and soon warm; limits may be named by most servers of a region for long. Both now follow the requests that gateways ask for.

--- a/src/flamingocleat/version/cold.py
+++ b/src/flamingocleat/version/cold.py
@@ -146,10 +146,11 @@
         self.passes: dict[ids.EntryId, float] = {}
         """Requests given to each gateway, divided by what it asked for."""
 
-    def refill(self, rate: Rate, now_s: float) -> None:
-        """Add the rate of the time since the last call."""
+    def refill(self, rate: Rate, fraction: float, now_s: float) -> None:
+        """Add a fraction of the rate for the time since the last call."""
         elapsed_s = max(0.0, now_s - self.updated_s)
-        self.tokens = min(rate.depth, self.tokens + rate.per_s * elapsed_s)
+        added = rate.per_s * fraction * elapsed_s
+        self.tokens = min(rate.depth, self.tokens + added)
         self.updated_s = now_s
 
     def may_grant(self, is_settled: bool) -> bool:
@@ -280,10 +281,19 @@
             if now_s - gateway.received_s < FORGET_GATEWAY_S
         }
         has_quorum, is_settled = self._check_quorum(now_s)
+        if not has_quorum:
+            return
         given: set[ids.EntryId] = set()
+        wanted = self._wanted(now_s)
+        guided = self._guided_fraction(now_s)
         for backend, server in self.servers.items():
-            if server.rate and has_quorum and server.may_grant(is_settled):
-                given |= self._allot_server(backend, server, now_s)
+            if server.rate is None or not server.may_grant(is_settled):
+                continue
+            fraction = 1.0 if server.rate.cold_per_s else guided
+            server.refill(server.rate, fraction, now_s)
+            given |= self._allot_server(
+                backend, server, server.rate, wanted.get(backend, {}), now_s
+            )
         for name in given:
             self.notify(name)
 
@@ -299,9 +309,10 @@
         has_quorum, is_settled = self._check_quorum(now_s)
         is_in_time = has_quorum and now_s + MIN_USE_S < end_s
         grants = []
-        for backend, server in self.servers.items():
-            requests = server.allotted.pop(name, 0)
-            if not requests:
+        for backend in gateway.wanted:
+            server = self.servers.get(backend)
+            requests = server.allotted.pop(name, 0) if server else 0
+            if server is None or not requests:
                 continue
             granted = 0
             if server.rate and is_in_time and server.may_grant(is_settled):
@@ -335,21 +346,31 @@
             )
         return has_quorum, is_settled
 
+    def _wanted(
+        self, now_s: float
+    ) -> dict[ids.BackendId, dict[ids.EntryId, int]]:
+        """Return what gateways that may use a grant ask for, by server."""
+        wanted: dict[ids.BackendId, dict[ids.EntryId, int]] = {}
+        for name, gateway in self.gateways.items():
+            if now_s - gateway.received_s >= GRANT_LIFE_S - MIN_USE_S:
+                continue
+            for backend, requests in gateway.wanted.items():
+                if requests > 0:
+                    wanted.setdefault(backend, {})[name] = requests
+        return wanted
+
     def _allot_server(
-        self, backend: ids.BackendId, server: _Server, now_s: float
+        self,
+        backend: ids.BackendId,
+        server: _Server,
+        rate: Rate,
+        wanted: dict[ids.EntryId, int],
+        now_s: float,
     ) -> set[ids.EntryId]:
         """Divide what one server may get; return who was given any."""
-        assert server.rate is not None
-        server.refill(self._guided_rate(server.rate, now_s), now_s)
-        wanted = {
-            name: gateway.wanted[backend]
-            for name, gateway in self.gateways.items()
-            if gateway.wanted.get(backend, 0) > 0
-            and now_s - gateway.received_s < GRANT_LIFE_S - MIN_USE_S
-        }
         for name in [each for each in server.allotted if each not in wanted]:
             server.tokens += server.allotted.pop(name)
-        free = self._room(backend, server.rate, now_s)
+        free = self._room(backend, rate, now_s)
         free -= sum(server.allotted.values())
         room = int(min(free, server.tokens))
         if room <= 0 or not wanted:
@@ -386,19 +407,16 @@
         )
         return max(len(self.gateways), heard)
 
-    def _guided_rate(self, rate: Rate, now_s: float) -> Rate:
-        """Return the rate less what gateways without a leader use of it."""
+    def _guided_fraction(self, now_s: float) -> float:
+        """Return the part of a rate that gateways without a leader leave."""
         gateways = self._gateways()
-        if rate.cold_per_s or not gateways:
-            return rate
+        if not gateways:
+            return 1.0
         present = sum(
             now_s - each.received_s <= ABSENT_AFTER_S
             for each in self.gateways.values()
         )
-        absent = (gateways - present) / gateways
-        return msgspec.structs.replace(
-            rate, per_s=rate.per_s * (1 - UNGUIDED_FRACTION * absent)
-        )
+        return 1 - UNGUIDED_FRACTION * (gateways - present) / gateways
 
     def _room(self, backend: ids.BackendId, rate: Rate, now_s: float) -> float:
         """Return how many more requests the bound of a cold server allows."""
