Count links between voters that the soak itself slows as disturbed

Trace: no fault for 20 s before, but heartbeats and joins of all voters timed out, and none led for more than 2.5 s. The proxies between voters run in the soak's process, which parsed 0.8 MB from each of three coordinators ten times a second (two faults had grown the configuration); the programs saw slow links that the check did not know of, and rules excuse.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -38,6 +38,10 @@
 PLAIN_SERVERS = 2
 CONTROL_PORT, VOTER_PORT, FRONT_PORT, READY_PORT = 7001, 7002, 7003, 7004
 ENGINE_PORT, PROXY_PORT = 7005, 7006
+LINK_CHECK_S = 0.05
+SLOW_LINK_S = 0.1
+"""Delay from which on a link between voters counts as slow: their heartbeats
+have 0.3 s for both ways."""
 LINK_PORT = 7100
 """First port of the proxies between voters."""
 SETTLE_S = 20.0
@@ -397,6 +401,7 @@
             await self._start()
             tasks += [asyncio.create_task(self._call(n)) for n in range(6)]
             tasks.append(asyncio.create_task(self._watch_memory()))
+            tasks.append(asyncio.create_task(self._watch_links()))
             tasks += self._watch_configuration()
             await self._wait_until_served("the first service")
             end_s = time.monotonic() + duration_s
@@ -518,6 +523,18 @@
                     return
             await asyncio.sleep(0.2)
 
+    async def _watch_links(self) -> None:
+        """Count links between voters as disturbed while they are slow.
+
+        Their proxies run in this process, which other work may hold up.
+        """
+        while not self.stopping:
+            due_s = time.monotonic() + LINK_CHECK_S
+            await asyncio.sleep(LINK_CHECK_S)
+            if time.monotonic() - due_s > SLOW_LINK_S:
+                for coordinator in self.coordinators:
+                    coordinator.last_fault_s = time.monotonic()
+
     async def _crash_first_starts(self) -> None:
         """Kill all coordinators, each after one of its first writes."""
         name = self.random.choice(FIRST_FILES)
