--- a/tests/platform/config_watch.py
+++ b/tests/platform/config_watch.py
@@ -30,6 +30,8 @@
 """The same while a majority of coordinators runs undisturbed."""
 ROLLBACK_SLACK_S = 0.25
 """Time after which a gateway obeys no version older than one it has obeyed."""
+READ_TIMEOUT_S = 5.0
+"""Longer than the longest pause of a process."""
 REFUSED = range(400, 500)
 MAX_READ_BYTES_PER_S = 4e6
 """Bound on what is read back, so that the soak itself stays responsive."""
@@ -502,10 +504,6 @@
             )
 
 
-READ_TIMEOUT_S = 5.0
-"""Longer than the longest pause of a process."""
-
-
 class _Probe(msgspec.Struct):
     """A request that shows what a gateway obeys."""
 
