Refuse a route whose unused split names an unknown service

Seen by operators: a change with a route that names a known service and, in its split, an unknown one was acknowledged, though a route that names an unknown service is invalid.

Cause: where a route has both, the split was dropped before the check. Class: input is judged by the part that is used, as for bytes that are no text.

Change: the split's services stay among the route's targets with a weight of 0, so that they are checked and get nothing. The soak sends such changes too.

--- a/tests/platform/config_watch.py
+++ b/tests/platform/config_watch.py
@@ -87,6 +87,12 @@
     return _with_route(document, service=None, trafficSplit=split)
 
 
+@_spoiler
+def _unknown_service_beside_service(document: Document) -> bytes:
+    split = [{"service": "nobody", "weight": 1}]
+    return _with_route(document, trafficSplit=split)
+
+
 @_spoiler
 def _same_place(document: Document) -> bytes:
     taken = document["routes"][0]["pathPrefix"]
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -203,6 +203,16 @@
             with_route_fields(trafficSplit=[{"service": "no", "weight": 1}]),
             "unknown",
         ),
+        (
+            with_route_fields(
+                service="llm",
+                trafficSplit=[
+                    {"service": "no", "weight": 1},
+                    {"service": "llm", "weight": 1},
+                ],
+            ),
+            "unknown",
+        ),
         (
             with_route_fields(trafficSplit=[{"service": "llm", "weight": 0}]),
             "add up",
@@ -232,6 +242,17 @@
     assert finding in findings[0]
 
 
+def test_service_goes_before_the_split_beside_it():
+    """Guards against requests to services of a split that is not used."""
+    document = with_route_fields(
+        service="llm", trafficSplit=[{"service": "llm", "weight": 3}]
+    )
+    call = decode("POST", "/api/Config.Replace", document)
+    assert catalog.check(call.catalog) == []
+    weights = [each.weight for each in call.catalog.routes[0].targets]
+    assert weights == [1.0, 0.0]
+
+
 @pytest.mark.parametrize(
     "document",
     [
