Log one closing line for each request, whatever ends it

What users saw: two streams ended with a closed connection around a SIGTERM, and no line of the gateway named either. A caller that left or closed only its sending side, a connection that was ended for lack of room, an error in the handler and the end of the process left no line; a drain counted connections and named none; what a slow reader of standard output had not taken was discarded at the exit; a stop that failed showed only on standard error.

Now each request that was read ends in one request_ended or request_refused line with the reason; drain_started and drain_finished name the open requests; drain_failed names them if the stop fails; the exit waits up to 0.3 s for a slow reader. No decision about requests changes.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -197,6 +197,8 @@
         """Why the request that is being read is refused, if it is."""
         self.discarded_bytes = 0
         self.is_discarding = False
+        self.end_reason = ""
+        """Why the connection ended, or an empty string."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves requests."""
@@ -238,7 +240,7 @@
 
     def eof_received(self) -> bool:
         """Cancel the request; a caller that closes its end counts as gone."""
-        self.task.cancel()
+        self._cancel("the caller closed its end")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -246,6 +248,15 @@
         self.server.connections.discard(self)
         self.intake.close(self.account)
         self.write_resumed.set()
+        self._cancel(
+            f"the connection was lost: {exc!r}"
+            if exc is not None
+            else "the connection was closed"
+        )
+
+    def _cancel(self, reason: str) -> None:
+        """Cancel the request in progress; the first reason is kept."""
+        self.end_reason = self.end_reason or reason
         self.task.cancel()
 
     def pause_writing(self) -> None:
@@ -283,7 +294,7 @@
     def drop(self, reason: intake_module.Reason) -> None:
         """End the connection at once."""
         self.abort()
-        self.task.cancel()
+        self._cancel(f"no room: {reason.value}")
 
     def write(self, event: h11.Event) -> None:
         """Send one h11 event."""
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -147,7 +147,17 @@
             listen=self.settings.listen,
         )
         await self.shutdown.requested.wait()
-        await self._drain(time.monotonic())
+        try:
+            await self._drain(time.monotonic())
+        except Exception as error:
+            logs.error(
+                _log,
+                "drain_failed",
+                busy=self.server.busy,
+                requests=self.forwarder.open_requests.names(),
+                reason=repr(error),
+            )
+            raise
         for task in tasks:
             task.cancel()
         logs.info(_log, "gateway_stopped", gateway=self.settings.gateway)
@@ -176,11 +186,21 @@
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
         self.server.close_listener()
         self.server.close_idle()
-        logs.info(_log, "drain_started", busy=self.server.busy)
+        logs.info(
+            _log,
+            "drain_started",
+            busy=self.server.busy,
+            requests=self.forwarder.open_requests.names(),
+        )
         while self.server.busy and time.monotonic() < end_s:
             await asyncio.sleep(IDLE_POLL_S)
             self.server.close_idle()
-        logs.info(_log, "drain_finished", busy=self.server.busy)
+        logs.info(
+            _log,
+            "drain_finished",
+            busy=self.server.busy,
+            requests=self.forwarder.open_requests.names(),
+        )
 
     async def _answer_health(self, exchange: http.Exchange) -> None:
         reason = self.not_ready_reason
--- a/src/flamingocleat/process/logs.py
+++ b/src/flamingocleat/process/logs.py
@@ -1,8 +1,10 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+import atexit
 import collections.abc
 import json
 import os
+import select
 import sys
 import time
 import typing
@@ -18,6 +20,9 @@
 MAX_BURST_LINES = 2000.0
 MAX_BUFFERED_BYTES = 1_048_576
 """Bytes buffered for a slow reader; further lines are dropped."""
+EXIT_FLUSH_S = 0.3
+"""Time that a process waits at its exit for a slow reader. It is part of the
+margin that a planned stop leaves of its grace period."""
 
 _FORMAT = (
     "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
@@ -78,6 +83,14 @@
             # The reader has gone, so there is nowhere to report the error.
             self.buffer = b""
 
+    def finish(self, timeout_s: float = EXIT_FLUSH_S) -> None:
+        """Write the rest of the buffer; blocks up to the timeout."""
+        end_s = self.clock() + timeout_s
+        self.flush()
+        while self.buffer and (wait_s := end_s - self.clock()) > 0:
+            select.select([], [self.descriptor], [], wait_s)
+            self.flush()
+
 
 def logger(component: str) -> logbook.Logger:
     """Return the logger of one component of a program."""
@@ -91,6 +104,7 @@
     target: typing.Any = sys.stderr
     if to_stdout:
         target = BoundedStream(sys.stdout.fileno())
+        atexit.register(target.finish)
     handler = logbook.StreamHandler(target, level=level)
     handler.format_string = f"program={program} {_FORMAT}"
     handler.push_application()
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -28,6 +28,7 @@
 from flamingocleat.request import direct_call
 from flamingocleat.request import events
 from flamingocleat.request import header_names as header_names_module
+from flamingocleat.request import open_requests
 from flamingocleat.request import pace_samples
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog
@@ -171,6 +172,7 @@
         self.stop_at_s = float("inf")
         """When the last answer must be sent, since the process stops."""
         self.in_flight: dict[direct_call.Call, asyncio.Timeout] = {}
+        self.open_requests = open_requests.OpenRequests(header_names)
         self.catalog_arrived = asyncio.Event()
 
     def limits(self) -> catalog.Limits:
@@ -186,11 +188,16 @@
 
     async def handle(self, exchange: http.Exchange) -> None:
         """Serve one request."""
+        with self.open_requests.track(exchange):
+            await self._handle(exchange)
+
+    async def _handle(self, exchange: http.Exchange) -> None:
         self.requests += 1
         try:
             if self.catalog_index is None:
                 await self._wait_for_catalog(exchange)
             call = self._parse(exchange)
+            self.open_requests.calls[exchange] = call
             call.deadline_s = min(call.deadline_s, self.stop_at_s)
             self.budget.record_request(call.service.name)
             async with asyncio.timeout(call.remaining_s()) as timeout:
@@ -604,6 +611,7 @@
 
     async def _refuse(self, exchange: http.Exchange, refusal: Refusal) -> None:
         request_id = exchange.header(self.header_names.request_id)
+        self.open_requests.close(exchange)
         logs.info(
             _log,
             "request_refused",
@@ -686,6 +694,7 @@
         The status is 0 if the answer was left unfinished.
         """
         _ANSWERS.labels(status=str(status)).inc()
+        self.open_requests.close(call.exchange)
         logs.info(
             _log,
             "request_ended",
--- a/tests/direct/test_gateway_stop.py
+++ b/tests/direct/test_gateway_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import logbook
 import pytest
 
 from examples import local
@@ -176,3 +177,48 @@
         assert [type(end) for end in ends] == [TimeoutError, TimeoutError]
 
     support.run_scenario(scenario)
+
+
+def test_stop_that_fails_names_the_requests_that_it_cuts(monkeypatch):
+    """Guards against a stop of which only a traceback on stderr tells."""
+
+    async def scenario(program):
+        await program.add(hang)
+        request = asyncio.create_task(program.request("/once/x"))
+        await asyncio.sleep(0.1)
+
+        def fail(_stop_at_s):
+            raise RuntimeError("cannot stop")
+
+        program.program.forwarder.stop_by = fail
+        with logbook.TestHandler().applicationbound() as handler:
+            with pytest.raises(RuntimeError):
+                await program.stop()
+            lines = [each.message for each in handler.records]
+        assert (
+            "event=drain_failed busy=1 requests=id-1 "
+            "reason=\"RuntimeError('cannot stop')\""
+        ) in lines
+        await program.program.server.close()
+        await request
+
+    run_scenario(monkeypatch, scenario)
+
+
+def test_drain_names_the_requests_that_it_waits_for(monkeypatch):
+    """Guards against a count of connections that leads to no request."""
+
+    async def scenario(program):
+        await program.add(hang)
+        request = asyncio.create_task(
+            program.request("/once/x", X_Request_Timeout_Ms="9000")
+        )
+        await asyncio.sleep(0.1)
+        with logbook.TestHandler().applicationbound() as handler:
+            await program.stop()
+            lines = [each.message for each in handler.records]
+        assert "event=drain_started busy=1 requests=id-1" in lines
+        assert 'event=drain_finished busy=0 requests=""' in lines
+        await request
+
+    run_scenario(monkeypatch, scenario)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,9 @@
 """Log output is bounded and never blocks."""
 
 import os
+import subprocess
+import sys
+import time
 
 from flamingocleat.process import logs
 
@@ -65,3 +68,41 @@
     stream.write("x\n")
     assert stream.buffer == b""
     os.close(writer)
+
+
+LOGS_AND_EXITS = """
+from flamingocleat.process import logs
+
+logs.set_up("program", to_stdout=True)
+for number in range(1000):
+    logs.info(logs.logger("part"), "line", number=number, text="x" * 200)
+"""
+
+
+def test_last_lines_reach_a_reader_that_is_late():
+    """Guards against an exit that discards lines a pipe did not take yet."""
+    program = subprocess.Popen(
+        [sys.executable, "-c", LOGS_AND_EXITS],
+        stdout=subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    )
+    assert program.stdout is not None
+    program.stdout.readline()
+    time.sleep(0.1)
+    last = program.stdout.read().splitlines()[-1]
+    assert b"number=999" in last
+    assert program.wait() == 0
+    program.stdout.close()
+
+
+def test_exit_does_not_wait_for_a_reader_that_stopped():
+    """Guards against a stop that outlasts its grace period."""
+    reader, writer = os.pipe()
+    stream = logs.BoundedStream(writer)
+    stream.buffer = b"x" * 1_000_000
+    began_s = time.monotonic()
+    stream.finish(0.1)
+    assert stream.buffer
+    assert time.monotonic() - began_s < 1.0
+    os.close(reader)
+    os.close(writer)
