Answer a request whose handling fails before its answer has begun

An error in the handler ended the connection's task. Now the caller gets 502, which is true whether or not the request has run, and the closing line has the place of the error. An answer that has begun is cut as before, so that it does not look whole.

Both cases of the new test failed before with a closed connection.

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -187,9 +187,16 @@
         self.catalog_arrived.set()
 
     async def handle(self, exchange: http.Exchange) -> None:
-        """Serve one request."""
-        with self.open_requests.track(exchange):
-            await self._handle(exchange)
+        """Serve one request, or answer it with a failure on any error."""
+        try:
+            with self.open_requests.track(exchange):
+                await self._handle(exchange)
+        except Exception:
+            if exchange.started:
+                raise
+            failure = Refusal(open_requests.FAILED_STATUS, "internal error")
+            _ANSWERS.labels(status=str(failure.status)).inc()
+            await self._respond(exchange, failure)
 
     async def _handle(self, exchange: http.Exchange) -> None:
         self.requests += 1
@@ -624,9 +631,13 @@
             reason=refusal,
         )
         _ANSWERS.labels(status=str(refusal.status)).inc()
-        if exchange.started:
-            return
+        if not exchange.started:
+            await self._respond(exchange, refusal)
+
+    async def _respond(self, exchange: http.Exchange, refusal: Refusal) -> None:
+        """Send an answer of this gateway's own."""
         headers = [(b"content-type", b"text/plain")]
+        request_id = exchange.header(self.header_names.request_id)
         if request_id:
             headers.append((self.header_names.request_id, request_id.encode()))
         if refusal.retry_after_s is not None:
--- a/src/flamingocleat/request/open_requests.py
+++ b/src/flamingocleat/request/open_requests.py
@@ -22,6 +22,8 @@
 MAX_NAMES = 50
 """Bound on the requests that one line names."""
 PROCESS_ENDS = "the process ends"
+FAILED_STATUS = 502
+"""Status of a request whose handling failed: it may have run."""
 
 _UNANSWERED = prometheus_client.Counter(
     "flamingocleat_gateway_unanswered",
@@ -49,7 +51,8 @@
             self._log_unanswered(exchange, "cancelled", reason)
             raise
         except Exception as error:
-            self._log_unanswered(exchange, "error", _describe(error))
+            status = 0 if exchange.started else FAILED_STATUS
+            self._log_unanswered(exchange, "error", _describe(error), status)
             raise
         finally:
             self.calls.pop(exchange, None)
@@ -65,7 +68,11 @@
         return ",".join(ids[:MAX_NAMES]) + (f",+{rest}" if rest > 0 else "")
 
     def _log_unanswered(
-        self, exchange: http.Exchange, cause: str, outcome: str
+        self,
+        exchange: http.Exchange,
+        cause: str,
+        outcome: str,
+        status: int = 0,
     ) -> None:
         if exchange not in self.calls:
             # Its closing line told what the caller got; this is beside it.
@@ -84,7 +91,7 @@
             "request_ended",
             request=self._request_id(exchange),
             route=call.route.name if call else "",
-            status=0,
+            status=status,
             sent=call.sent if call else 0,
             backend=call.backend if call else "",
             version=call.version if call else "",
--- a/tests/direct/support.py
+++ b/tests/direct/support.py
@@ -254,7 +254,7 @@
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
         try:
             async with asyncio.timeout(TIMEOUT_S):
-                return Reply(await _read_all(reader))
+                return Reply(await read_all(reader))
         finally:
             writer.close()
 
@@ -296,7 +296,8 @@
         return body
 
 
-async def _read_all(reader: asyncio.StreamReader) -> bytes:
+async def read_all(reader: asyncio.StreamReader) -> bytes:
+    """Return what arrives until the connection ends."""
     data = b""
     with contextlib.suppress(OSError):
         while part := await reader.read(65_536):
--- a/tests/direct/test_closing_lines.py
+++ b/tests/direct/test_closing_lines.py
@@ -150,3 +150,57 @@
     assert names[:2] == ["id-0", "id-1"]
     assert len(names) == open_requests.MAX_NAMES + 1
     assert names[-1] == "+2"
+
+
+@pytest.mark.parametrize(
+    ("path", "attribute", "sent"),
+    [("/read/x", "_parse", 0), ("/once/x", "record_head", 1)],
+)
+def test_caller_is_answered_although_the_handler_fails(path, attribute, sent):
+    """Guards against a closed connection where an answer is possible."""
+
+    async def scenario(harness):
+        backend = await harness.add(answer)
+
+        def fail(*_):
+            raise KeyError("b-0")
+
+        setattr(harness.forwarder, attribute, fail)
+        with logbook.TestHandler().applicationbound() as handler:
+            reply = await harness.request(path)
+        (line,) = closing_lines(handler)
+        assert len(backend.received) == sent
+        assert (reply.status, reply.is_complete) == (502, True)
+        assert reply.headers["x-request-id"] == "id-1"
+        assert "status=502" in line
+        assert "KeyError" in line
+
+    support.run_scenario(scenario)
+
+
+def test_stream_whose_handler_fails_does_not_look_whole():
+    """Guards against an end of a broken stream that a caller takes for one."""
+    goes_on = asyncio.Event()
+
+    async def send_two_events(received):
+        await received.send_events(1, 1, end=False)
+        await goes_on.wait()
+        await received.send(support.chunk(support.event(2)))
+
+    async def fail(*_):
+        raise KeyError("b-0")
+
+    async def scenario(harness):
+        await harness.add(send_two_events, "llm")
+        with logbook.TestHandler().applicationbound() as handler:
+            reader, writer = await open_stream(harness)
+            (call,) = harness.forwarder.in_flight
+            call.exchange.send = fail
+            goes_on.set()
+            rest = await support.read_all(reader)
+            writer.close()
+            (line,) = closing_lines(handler)
+        assert b"0\r\n\r\n" not in rest
+        assert "status=0" in line
+
+    support.run_scenario(scenario)
