--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -362,7 +362,7 @@
             if not exchange.finished:
                 self.abort()
         self._count_unread()
-        if self.http.our_state is h11.MUST_CLOSE or self.server.draining:
+        if self.http.our_state is h11.MUST_CLOSE or not self.server.listening:
             return False
         try:
             self.http.start_next_cycle()
@@ -554,7 +554,10 @@
         self.closed = False
         """Whether connections that are set up from now on are aborted."""
         self.draining = False
-        """True if each answer should close its connection."""
+        """True if each answer should announce that its connection closes."""
+        self.listening = True
+        """False once connections are closed after the answer in progress,
+        whether or not it announced that."""
 
     async def start(
         self, address: str, listener: socket.socket | None = None
@@ -624,7 +627,8 @@
             self._check_later()
 
     def close_listener(self) -> None:
-        """Accept no new connections."""
+        """Accept no new connections, and no further request on others."""
+        self.listening = False
         listeners.close_soon(self.listener, self.listener.close)
 
     def close_idle(self) -> None:
--- a/tests/direct/test_gateway_stop.py
+++ b/tests/direct/test_gateway_stop.py
@@ -222,3 +222,45 @@
         await request
 
     run_scenario(monkeypatch, scenario)
+
+
+def test_kept_connection_is_served_once_more_during_the_notice(monkeypatch):
+    """Guards against a close that a caller cannot know of as it sends."""
+    begun = asyncio.Event()
+    goes_on = asyncio.Event()
+
+    async def wait_between_events(received):
+        await received.send_events(1, 1, end=False)
+        begun.set()
+        await goes_on.wait()
+        await received.send(support.chunk(support.event(2)) + b"0\r\n\r\n")
+
+    async def scenario(program):
+        await program.add(wait_between_events, "llm")
+        await program.add(answer_soon)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", program.port
+        )
+        writer.write(
+            b"POST /stream/x HTTP/1.1\r\nHost: front.example\r\n"
+            b"X-Request-Id: id-1\r\nX-Api-Key: key-1\r\n"
+            b"Content-Length: 0\r\nX-Request-Timeout-Ms: 9000\r\n"
+            b"Flamingocleat-Model: large\r\n\r\n"
+        )
+        await begun.wait()
+        stopping = asyncio.create_task(program.stop())
+        await asyncio.sleep(0.1)
+        goes_on.set()
+        await reader.readuntil(b"0\r\n\r\n")
+        writer.write(
+            b"GET /once/x HTTP/1.1\r\nHost: front.example\r\n"
+            b"X-Request-Id: id-2\r\nX-Api-Key: key-1\r\n"
+            b"X-Request-Timeout-Ms: 9000\r\n\r\n"
+        )
+        reply = support.Reply(await support.read_all(reader))
+        writer.close()
+        assert (reply.status, reply.body) == (200, b"done")
+        assert reply.headers["connection"] == "close"
+        await stopping
+
+    run_scenario(monkeypatch, scenario)
