Refuse requests that a gateway reads after the notice of its stop

A connection that is closed as idle can still deliver a request in the same step of the event loop; a loop that stands still makes that step long. It gets 503 with Retry-After 0 now, which is true, and its caller has the rest of its time for another gateway.

The new test failed before with a closed connection. Not seen to occur.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -184,6 +184,7 @@
         )
         self.forwarder.stop_by(end_s - ANSWER_MARGIN_S)
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
+        self.forwarder.refuses_new = True
         self.server.close_listener()
         self.server.close_idle()
         logs.info(
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -171,6 +171,8 @@
         """Requests that wait for the first configuration."""
         self.stop_at_s = float("inf")
         """When the last answer must be sent, since the process stops."""
+        self.refuses_new = False
+        """Whether requests that are read from now on are refused."""
         self.in_flight: dict[direct_call.Call, asyncio.Timeout] = {}
         self.open_requests = open_requests.OpenRequests(header_names)
         self.catalog_arrived = asyncio.Event()
@@ -201,6 +203,8 @@
     async def _handle(self, exchange: http.Exchange) -> None:
         self.requests += 1
         try:
+            if self.refuses_new:
+                raise Refusal(503, "this gateway stops", 0.0)
             if self.catalog_index is None:
                 await self._wait_for_catalog(exchange)
             call = self._parse(exchange)
--- a/tests/direct/test_gateway_stop.py
+++ b/tests/direct/test_gateway_stop.py
@@ -264,3 +264,36 @@
         await stopping
 
     run_scenario(monkeypatch, scenario)
+
+
+def test_request_that_is_read_after_the_notice_is_refused(monkeypatch):
+    """Guards against a request that is begun with too little time to end."""
+
+    async def scenario(program):
+        backend = await program.add(hang)
+        hanging = asyncio.create_task(
+            program.request("/once/x", X_Request_Timeout_Ms="9000")
+        )
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", program.port
+        )
+        writer.write(b"GET /once/x HTTP/1.1\r\nHost: front.example\r\n")
+        await asyncio.sleep(0.05)
+        server = program.program.server
+        server.close_idle = lambda: None
+        stopping = asyncio.create_task(program.stop())
+        while server.listener.is_serving():
+            await asyncio.sleep(0.01)
+        writer.write(
+            b"X-Request-Id: id-1\r\nX-Api-Key: key-1\r\n"
+            b"X-Request-Timeout-Ms: 9000\r\n\r\n"
+        )
+        reply = support.Reply(await support.read_all(reader))
+        writer.close()
+        assert (reply.status, reply.is_complete) == (503, True)
+        assert reply.headers["connection"] == "close"
+        assert len(backend.received) == 1
+        await stopping
+        assert (await hanging).status == 504
+
+    run_scenario(monkeypatch, scenario)
