Wait at a stop for answers that are still in a write buffer

Callers that read slowly could lose the end of an answer as the process ended: a kept connection counts as idle once its answer is written, though up to 16 KB may be unsent. Such a connection counts as busy now, up to the end of the grace period.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -652,8 +652,11 @@
 
     @property
     def busy(self) -> int:
-        """Connections on which a request is being served."""
-        return sum(not each.idle for each in self.connections)
+        """Connections with a request, or with an answer that is not sent."""
+        return sum(
+            not each.idle or each.transport.get_write_buffer_size() > 0
+            for each in self.connections
+        )
 
 
 def _check_framing(request: h11.Request) -> int:
