Compare the time of a request with the end of a stop's notice

A gateway whose event loop stood still as the notice ended read a request before it set the flag that refuses it, which was for: asyncio runs what was read before the timer. The time at which a request is read decides now.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -182,9 +182,9 @@
         notice_s = began_s + min(
             self.settings.drain_notice_s, grace_s * MAX_NOTICE_FRACTION
         )
+        self.forwarder.refuse_from_s = notice_s
         self.forwarder.stop_by(end_s - ANSWER_MARGIN_S)
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
-        self.forwarder.refuses_new = True
         self.server.close_listener()
         self.server.close_idle()
         logs.info(
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -171,8 +171,8 @@
         """Requests that wait for the first configuration."""
         self.stop_at_s = float("inf")
         """When the last answer must be sent, since the process stops."""
-        self.refuses_new = False
-        """Whether requests that are read from now on are refused."""
+        self.refuse_from_s = float("inf")
+        """From when on requests that are read are refused."""
         self.in_flight: dict[direct_call.Call, asyncio.Timeout] = {}
         self.open_requests = open_requests.OpenRequests(header_names)
         self.catalog_arrived = asyncio.Event()
@@ -203,7 +203,7 @@
     async def _handle(self, exchange: http.Exchange) -> None:
         self.requests += 1
         try:
-            if self.refuses_new:
+            if exchange.arrived_s >= self.refuse_from_s:
                 raise Refusal(503, "this gateway stops", 0.0)
             if self.catalog_index is None:
                 await self._wait_for_catalog(exchange)
