Answer a request that was read behind another one before a stop

A request that arrived on a connection while another was served, and had not been taken up as the notice of a stop ended, vanished: its connection closed without an answer, and no line named it. It is taken up now and refused with 503 if it is read after the notice. The test failed before and passes.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -362,7 +362,9 @@
             if not exchange.finished:
                 self.abort()
         self._count_unread()
-        if self.http.our_state is h11.MUST_CLOSE or not self.server.listening:
+        if self.http.our_state is h11.MUST_CLOSE:
+            return False
+        if not self.server.listening and not self._count_unparsed():
             return False
         try:
             self.http.start_next_cycle()
