Go on with a planned stop although a step of it fails

The class of fault of: an error in one step ended the process at once and cut all requests. Each step is now run by itself; drain_failed names the step and the open requests, which still end by the grace period. The test failed before and passes; the test of the log line is as strict and asks for an answer as well.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -147,17 +147,7 @@
             listen=self.settings.listen,
         )
         await self.shutdown.requested.wait()
-        try:
-            await self._drain(time.monotonic())
-        except Exception as error:
-            logs.error(
-                _log,
-                "drain_failed",
-                busy=self.server.busy,
-                requests=self.forwarder.open_requests.names(),
-                reason=repr(error),
-            )
-            raise
+        await self._drain(time.monotonic())
         for task in tasks:
             task.cancel()
         logs.info(_log, "gateway_stopped", gateway=self.settings.gateway)
@@ -183,10 +173,13 @@
             self.settings.drain_notice_s, grace_s * MAX_NOTICE_FRACTION
         )
         self.forwarder.refuse_from_s = notice_s
-        self.forwarder.stop_by(end_s - ANSWER_MARGIN_S)
+        self._run_step(
+            "deadlines",
+            lambda: self.forwarder.stop_by(end_s - ANSWER_MARGIN_S),
+        )
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
-        self.server.close_listener()
-        self.server.close_idle()
+        self._run_step("listener", self.server.close_listener)
+        self._run_step("idle", self.server.close_idle)
         logs.info(
             _log,
             "drain_started",
@@ -195,7 +188,7 @@
         )
         while self.server.busy and time.monotonic() < end_s:
             await asyncio.sleep(IDLE_POLL_S)
-            self.server.close_idle()
+            self._run_step("idle", self.server.close_idle)
         logs.info(
             _log,
             "drain_finished",
@@ -203,6 +196,22 @@
             requests=self.forwarder.open_requests.names(),
         )
 
+    def _run_step(
+        self, name: str, step: collections.abc.Callable[[], None]
+    ) -> None:
+        """Run a step of a stop; without it, the requests still end."""
+        try:
+            step()
+        except Exception as error:
+            logs.error(
+                _log,
+                "drain_failed",
+                step=name,
+                busy=self.server.busy,
+                requests=self.forwarder.open_requests.names(),
+                reason=repr(error),
+            )
+
     async def _answer_health(self, exchange: http.Exchange) -> None:
         reason = self.not_ready_reason
         await exchange.respond(
