Answer a request of any server whose handler fails

A failing handler of a coordinator's interface, or of health and metrics, still closed the connection without an answer and without a structured line. Connections now answer 500 before an answer has begun, and request_failed has the error and its place.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -355,6 +355,10 @@
         try:
             async with self.server.turn(len(exchange.body)):
                 await self.server.handle(exchange)
+        except Exception as error:
+            if exchange.started:
+                raise
+            await self._answer_failure(exchange, error)
         finally:
             # Errors whose frames refer to the exchange live until the garbage
             # collector finds them, which does not count the bytes of a body.
@@ -381,6 +385,21 @@
             self.intake.enter(self.account, intake_module.Phase.IDLE)
         return True
 
+    async def _answer_failure(
+        self, exchange: Exchange, error: Exception
+    ) -> None:
+        """Answer a request whose handler has failed."""
+        logs.error(
+            _log,
+            "request_failed",
+            server=self.server.name,
+            status=500,
+            target=exchange.target.decode("latin-1"),
+            reason=logs.describe(error),
+        )
+        headers = [(b"content-type", b"text/plain")]
+        await exchange.respond(500, headers, b"internal error\n")
+
     def _count_unparsed(self) -> int:
         return len(self.http.trailing_data[0])
 
--- a/src/flamingocleat/process/logs.py
+++ b/src/flamingocleat/process/logs.py
@@ -7,6 +7,7 @@
 import select
 import sys
 import time
+import traceback
 import typing
 
 import logbook
@@ -125,6 +126,15 @@
     log.error("{}", _LazyLine(event, fields))
 
 
+def describe(error: BaseException) -> str:
+    """Return an error with the place that raised it, for one line."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return repr(error)
+    module = frames[-1].filename.rpartition("/")[2]
+    return f"{error!r} at {module}:{frames[-1].lineno}"
+
+
 class _LazyLine:
     """Event that is formatted only if a handler writes it."""
 
--- a/src/flamingocleat/request/open_requests.py
+++ b/src/flamingocleat/request/open_requests.py
@@ -8,7 +8,6 @@
 import collections.abc
 import contextlib
 import time
-import traceback
 
 import prometheus_client
 
@@ -52,7 +51,9 @@
             raise
         except Exception as error:
             status = 0 if exchange.started else FAILED_STATUS
-            self._log_unanswered(exchange, "error", _describe(error), status)
+            self._log_unanswered(
+                exchange, "error", f"error: {logs.describe(error)}", status
+            )
             raise
         finally:
             self.calls.pop(exchange, None)
@@ -103,12 +104,3 @@
 
     def _request_id(self, exchange: http.Exchange) -> str:
         return exchange.header(self.header_names.request_id)
-
-
-def _describe(error: Exception) -> str:
-    """Return an error with the place that raised it."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return f"error: {error!r}"
-    module = frames[-1].filename.rpartition("/")[2]
-    return f"error: {error!r} at {module}:{frames[-1].lineno}"
