Log a stream that must not go on as broken off

A stream that had begun and could not be resumed was logged and counted as refused with 502 or 503; its caller had got 200 and a cut. The closing line has status 0 now. The test failed before and passes.

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -621,6 +621,11 @@
         raise Refusal(503, str(error), admission_module.MIN_RETRY_AFTER_S)
 
     async def _refuse(self, exchange: http.Exchange, refusal: Refusal) -> None:
+        call = self.open_requests.calls.get(exchange)
+        if exchange.started and call is not None:
+            # The answer is left unfinished, so that it does not look complete.
+            self.record_answer(call, 0, f"broken off: {refusal}")
+            return
         request_id = exchange.header(self.header_names.request_id)
         self.open_requests.close(exchange)
         logs.info(
@@ -635,8 +640,7 @@
             reason=refusal,
         )
         _ANSWERS.labels(status=str(refusal.status)).inc()
-        if not exchange.started:
-            await self._respond(exchange, refusal)
+        await self._respond(exchange, refusal)
 
     async def _respond(self, exchange: http.Exchange, refusal: Refusal) -> None:
         """Send an answer of this gateway's own."""
