Let signals at the end of a stop leave the exit alone

A repeated SIGTERM or a SIGHUP that came after the event loop had closed ended the process with that signal, and discarded lines that a slow reader had not taken: a loop restores the defaults as it closes. The handlers are the process's own now. Both cases of the test failed before and pass.

--- a/src/flamingocleat/process/shutdown.py
+++ b/src/flamingocleat/process/shutdown.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import signal
 import threading
+import types
 
 from flamingocleat.process import logs
 
@@ -30,10 +32,25 @@
         """Whether SIGHUP has come before there was anything to reload."""
 
     def install(self) -> None:
-        """Request a stop on SIGTERM and SIGINT, and outlast SIGHUP."""
+        """Request a stop on SIGTERM and SIGINT, and outlast SIGHUP.
+
+        The handlers stay when the event loop has closed, and do nothing then: a
+        loop's own handlers would leave the exit to the signals' defaults.
+        """
         for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.request, number.name)
-        self.loop.add_signal_handler(signal.SIGHUP, self._handle_reload)
+            self._handle(number, functools.partial(self.request, number.name))
+        self._handle(signal.SIGHUP, self._handle_reload)
+
+    def _handle(
+        self,
+        number: signal.Signals,
+        action: collections.abc.Callable[[], None],
+    ) -> None:
+        def deliver(_number: int, _frame: types.FrameType | None) -> None:
+            with contextlib.suppress(RuntimeError):
+                self.loop.call_soon_threadsafe(action)
+
+        signal.signal(number, deliver)
 
     def install_reload(
         self, reload: collections.abc.Callable[[], None]
