Answer operators before a coordinator stops

A change that waited for a quorum when its coordinator got SIGTERM lost its connection after 0.5 s, without an answer: it may wait for 3 s. A stop shortens waits for other voters to 0.3 s now, so that the change is answered with 503 (not known to be stored), as after the whole wait. The test failed before and passes, as do the tests of evacuations and voters.

--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -33,6 +33,7 @@
 from flamingocleat.process import shutdown as shutdown_module
 from flamingocleat.process import timer as timer_module
 from flamingocleat.process import voters as voters_module
+from flamingocleat.process import waits
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import cold as cold_module
 from flamingocleat.version import confirmations
@@ -83,6 +84,8 @@
 MAX_REDIRECT_WAIT_S = 0.5
 DRAIN_WAIT_S = 0.5
 """Time to answer pending requests after SIGTERM."""
+LAST_WAIT_S = 0.3
+"""Time of it for which they still wait for other voters."""
 REOPEN_DELAY_S = 1.0
 """Delay before storage is reopened after a failed write."""
 
@@ -208,6 +211,7 @@
             "coordinator",
             single_body_bytes=intake.SINGLE_BODY_BYTES,
         )
+        self.waits = waits.Waits()
         self.tasks: set[asyncio.Task] = set()
         self.consensus.subscribe_applied(self._on_applied)
         self.failed = asyncio.Event()
@@ -245,6 +249,7 @@
         self.http.draining = True
         self.http.close_listener()
         self.http.close_idle()
+        self.waits.end_within(LAST_WAIT_S)
         await asyncio.sleep(DRAIN_WAIT_S if self.http.busy else 0)
         # The process may go on with another coordinator in place of this one.
         await self.http.close()
@@ -464,7 +469,7 @@
         if not orders:
             return
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+            async with self.waits.within(CONFIRM_TIMEOUT_S):
                 await self.consensus.confirm()
         except (errors.FlamingocleatError, TimeoutError) as error:
             # An order from a replaced leader could undo one from its successor.
@@ -703,7 +708,7 @@
             return
         stored = declared.StoredWithdrawal(withdrawal, _unix_ms())
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+            async with self.waits.within(CONFIRM_TIMEOUT_S):
                 await self.consensus.propose(
                     declared.PutDocument(declared.NO_VERSION, b"", stored)
                 )
@@ -727,7 +732,7 @@
             )
             raise Reply(400, "\n".join([*findings, ""]).encode())
         try:
-            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+            async with self.waits.within(COMMIT_TIMEOUT_S):
                 if call.catalog.version <= self.machine.version:
                     await self.consensus.confirm()
                     changed = False
@@ -756,7 +761,7 @@
 
     async def _handle_get(self, call: platform_module.GetDocument) -> None:
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+            async with self.waits.within(CONFIRM_TIMEOUT_S):
                 await self.consensus.confirm()
         except (errors.FlamingocleatError, TimeoutError) as error:
             raise Reply(503, b"not sure which is the newest\n") from error
