--- a/tests/direct/test_crash_guard.py
+++ b/tests/direct/test_crash_guard.py
@@ -3,84 +3,25 @@
 import asyncio
 import random
 
-import msgspec
 import pytest
 
 from flamingocleat.request import crash_guard
 from flamingocleat.version import crashes
+from tests.direct import ending_servers
 from tests.direct import support
+from tests.direct.ending_servers import EndingServers
 
 LETHAL = "dd01"
 CALLER = "aa01"
 """A part that sound requests and lethal ones share."""
-READ_S = 0.03
-"""Time from a request's arrival at a head to its first event."""
-RESTART_S = 0.6
-
-
-class Engines:
-    """Heads that end when they begin to write on the lethal part."""
-
-    def __init__(self, *harnesses: support.Harness) -> None:
-        self.harnesses = harnesses
-        self.lethal_arrivals = 0
-        self.ended = 0
-        self.alive: dict[str, support.Backend] = {}
-        self.views = []
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    async def add(self) -> None:
-        """Start a head and tell all gateways of it."""
-        first = self.harnesses[0]
-        backend = await first.add(self._serve, "llm", slots=24)
-        view = first.views.pop()
-        name = f"h-{self.ended}-{len(self.views)}"
-        view = msgspec.structs.replace(view, backend=name, group=f"g-{name}")
-        self.alive[name] = backend
-        self.views.append(view)
-        self._update()
-
-    def _update(self) -> None:
-        for harness in self.harnesses:
-            harness.candidates.update(self.views)
-
-    async def _serve(self, received: support.ReceivedRequest) -> None:
-        name = received.headers["flamingocleat-backend"]
-        task = asyncio.current_task()
-        self.tasks.add(task)
-        try:
-            parts = received.headers.get("flamingocleat-prompt-parts", "")
-            lethal = LETHAL in parts
-            self.lethal_arrivals += lethal
-            await asyncio.sleep(READ_S)
-            if lethal:
-                await self.end(name)
-                return
-            after = int(received.headers.get("last-event-id", 0))
-            await received.send_events(after + 1, 10, pause_s=0.01)
-        finally:
-            self.tasks.discard(task)
-
-    async def end(self, name: str) -> None:
-        """End a head with all its streams; another one starts later."""
-        backend = self.alive.pop(name, None)
-        if backend is None:
-            return
-        self.ended += 1
-        backend.server.close()
-        for received in backend.received:
-            received.writer.transport.abort()
-        asyncio.get_running_loop().call_later(
-            RESTART_S, lambda: asyncio.ensure_future(self._replace(name))
-        )
 
-    async def _replace(self, name: str) -> None:
-        self.views = [each for each in self.views if each.backend != name]
-        await self.add()
+
+def is_lethal(received: support.ReceivedRequest) -> bool:
+    return LETHAL in received.headers.get("flamingocleat-prompt-parts", "")
 
 
 async def play(
-    engines: Engines, duration_s: float, seed: int, lethal_every: int = 12
+    engines: EndingServers, duration_s: float, seed: int, lethal_every: int = 12
 ) -> tuple[list[support.Reply], list[support.Reply]]:
     """Send sound and lethal requests; return the replies to each."""
     generator = random.Random(seed)
@@ -107,7 +48,9 @@
 
 
 def check_callers_and_servers(
-    engines: Engines, sound: list[support.Reply], lethal: list[support.Reply]
+    engines: EndingServers,
+    sound: list[support.Reply],
+    lethal: list[support.Reply],
 ) -> None:
     assert engines.ended <= 5
     assert engines.lethal_arrivals <= 8
@@ -120,7 +63,7 @@
     """Servers must not end one after the other, nor its callers be shut out."""
 
     async def scenario(harness):
-        engines = Engines(harness)
+        engines = EndingServers((harness,), is_lethal)
         for _ in range(5):
             await engines.add()
         sound, lethal = await play(engines, 3.0, seed=1)
@@ -135,8 +78,8 @@
     async def scenario(first):
         second = support.Harness()
         await second.start()
-        share_evidence(first, second)
-        engines = Engines(first, second)
+        ending_servers.share_evidence(first, second)
+        engines = EndingServers((first, second), is_lethal)
         for _ in range(5):
             await engines.add()
         sound, lethal = await play(engines, 3.0, seed=2)
@@ -146,24 +89,11 @@
     support.run_scenario(scenario)
 
 
-def share_evidence(*harnesses: support.Harness) -> None:
-    """Pass the evidence of each gateway on to the others, as control does."""
-    records = [each.forwarder.guard.crashes for each in harnesses]
-
-    def share(source) -> None:
-        evidence = source.evidence()
-        for each in records:
-            asyncio.get_running_loop().call_later(0.02, each.merge, evidence)
-
-    for record in records:
-        record.subscribe(lambda record=record: share(record))
-
-
 def test_heads_that_end_by_themselves_keep_no_caller_out():
     """Sound requests must be served although heads end while they wait."""
 
     async def scenario(harness):
-        engines = Engines(harness)
+        engines = EndingServers((harness,), is_lethal)
         for _ in range(5):
             await engines.add()
 
@@ -217,7 +147,7 @@
             nonlocal at_once, most_at_once
             at_once += 1
             most_at_once = max(most_at_once, at_once)
-            await asyncio.sleep(READ_S)
+            await asyncio.sleep(ending_servers.READ_S)
             at_once -= 1
             await received.send_events(1, 3)
 
