Log with each failed attempt what identifies a repeated request

Two attempts of the same request under other ids could not be told apart in the logs, so that a request that ends servers and servers that end by themselves looked the same. attempt_failed has a digest of host, path, caller and body now. No decision changes.

--- a/src/flamingocleat/ids.py
+++ b/src/flamingocleat/ids.py
@@ -51,5 +51,9 @@
 PromptPart = typing.NewType("PromptPart", str)
 """A part of a prompt that other requests may share."""
 
+RequestDigest = typing.NewType("RequestDigest", str)
+"""What a request has in common with its repetitions under other ids, as "r:"
+and hexadecimal digits. Names of parts of prompts have no colon."""
+
 Epoch = typing.NewType("Epoch", int)
 """Fencing number of a group: the leader's term and a counter."""
--- a/src/flamingocleat/request/direct_call.py
+++ b/src/flamingocleat/request/direct_call.py
@@ -7,6 +7,7 @@
 from flamingocleat.request import admission as admission_module
 from flamingocleat.request import crash_guard
 from flamingocleat.request import header_names as header_names_module
+from flamingocleat.request import request_digest
 from flamingocleat.version import catalog
 
 
@@ -54,6 +55,12 @@
             else ()
         )
         """Parts of its prompt that other requests may share."""
+        self.digest = request_digest.digest(
+            exchange.header(b"host"),
+            exchange.target,
+            customer.name if customer else "",
+            exchange.body,
+        )
         self.sent = 0
         """Number of times that the request was sent to a server."""
         self.sent_to: set[ids.BackendId] = set()
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -702,6 +702,7 @@
             failure=error.failure.value,
             after_ms=round((time.monotonic() - call.exchange.arrived_s) * 1000),
             parts=",".join(call.parts),
+            digest=call.digest,
             reason=error,
         )
 
