Keep a request that ends the servers that run it from further ones

Cause: attempts of one request under other ids, at any gateway, were connected by nothing. A gateway sent a read whose server had ended to the next one at once; the evidence on ends of servers held parts of prompts, and ends of heads only. Class: a repeat that spreads the failure, as with parts of prompts, where it was looked for elsewhere and plain servers were left out.

Change: the digest of a request is one more kind of suspect in that evidence. The end of any server that neither leaves nor was withdrawn, and refuses connections, is blamed on the requests that it had not answered, also on those given up within two seconds; those at most ends are blamed, and a server that answers clears a request.

--- a/src/flamingocleat/ids.py
+++ b/src/flamingocleat/ids.py
@@ -48,10 +48,13 @@
         )
 
 
-PromptPart = typing.NewType("PromptPart", str)
+Suspect = typing.NewType("Suspect", str)
+"""What may have ended a server: a part of prompts, or a request."""
+
+PromptPart = typing.NewType("PromptPart", Suspect)
 """A part of a prompt that other requests may share."""
 
-RequestDigest = typing.NewType("RequestDigest", str)
+RequestDigest = typing.NewType("RequestDigest", Suspect)
 """What a request has in common with its repetitions under other ids, as "r:"
 and hexadecimal digits. Names of parts of prompts have no colon."""
 
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -471,28 +471,38 @@
     count: int
 
 
-class HeadEnd(Message, frozen=True):
-    """A head that ended while requests without an event were in flight."""
+class SentRequest(Message, frozen=True):
+    """A request that a server had not answered as it ended."""
+
+    digest: ids.RequestDigest
+    sent_ms: int
+    """Time since it was sent there, for the first time."""
+
+
+class ServerEnd(Message, frozen=True):
+    """A server that ended while requests without an answer were in flight."""
 
     group: str
+    """The group of a head, or the lifetime of another server."""
     ended_ms: int
     """Time since then."""
     parts: tuple[ids.PromptPart, ...]
     """Parts of the prompts of those requests."""
+    requests: tuple[SentRequest, ...] = ()
 
 
 class WrittenPart(Message, frozen=True):
-    """A part of prompts that a server has written on."""
+    """A part of prompts, or a request, that a server has begun to answer."""
 
-    part: ids.PromptPart
+    part: ids.Suspect
     written_ms: int
     """Time since the last answer began."""
 
 
 class CrashEvidence(Message, frozen=True):
-    """Ends of heads, and which parts of prompts are known to be sound."""
+    """Ends of servers, and what is known to have ended none."""
 
-    ends: tuple[HeadEnd, ...] = ()
+    ends: tuple[ServerEnd, ...] = ()
     written: tuple[WrittenPart, ...] = ()
 
 
--- a/src/flamingocleat/request/direct_call.py
+++ b/src/flamingocleat/request/direct_call.py
@@ -69,6 +69,11 @@
         """The server that was chosen last."""
         self.first_byte_s: float | None = None
 
+    @property
+    def suspects(self) -> tuple[ids.Suspect, ...]:
+        """What may end the servers that run it."""
+        return (*self.parts, self.digest)
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the request may be sent again although it may have run."""
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -30,6 +30,7 @@
 from flamingocleat.request import header_names as header_names_module
 from flamingocleat.request import open_requests
 from flamingocleat.request import pace_samples
+from flamingocleat.request import server_ends
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog
 from flamingocleat.version import crashes
@@ -39,9 +40,6 @@
 CONNECT_TIMEOUT_S = 0.3
 """Timeout for opening a connection within a region; a lost packet is
 retransmitted after 0.2 s."""
-END_CHECK_TIMEOUT_S = 0.1
-"""Timeout of the check whether a head has ended. One whose process has ended
-refuses connections at once."""
 MAX_CONNECTS = 3
 """Bound on the servers that are tried until one accepts a connection."""
 FIRST_ATTEMPT_FRACTION = 0.6
@@ -157,6 +155,9 @@
         self.admission = admission
         self.budget = budget
         self.guard = crash_guard.CrashGuard(crashes.CrashRecord())
+        self.server_ends = server_ends.ServerEnds(
+            self.guard, admission.candidates
+        )
         self.pace = pace_samples.PaceSamples()
         self.answer_room = answer_room.AnswerRoom(
             intake.Settings().server_answer_bytes
@@ -315,27 +316,28 @@
         call: direct_call.Call,
         stream: "Stream",
         tried: frozenset[ids.BackendId],
-        on_trial: tuple[ids.PromptPart, ...],
+        on_trial: tuple[ids.Suspect, ...],
     ) -> AttemptError | None:
         """Serve a call by one server; return why that failed, or None."""
         candidate = await self._place(call, tried, on_trial)
         placed_s = time.monotonic()
         call.backend = candidate.view.backend
         try:
-            await self._attempt(call, candidate, stream)
+            with self.guard.trial_at(call.backend, on_trial):
+                await self._attempt(call, candidate, stream)
         except AttemptError as error:
+            if error.failure is Failure.NOT_RUN or error.answer is not None:
+                self.server_ends.record_failure(call, candidate)
             self._log_failure(call, candidate, error)
             return error
         finally:
             self.admission.release(candidate, time.monotonic() - placed_s)
         return None
 
-    async def _admit(
-        self, call: direct_call.Call
-    ) -> tuple[ids.PromptPart, ...]:
-        """Wait until the call may be sent; return the parts that it tries."""
+    async def _admit(self, call: direct_call.Call) -> tuple[ids.Suspect, ...]:
+        """Wait until the call may be sent; return the suspects it tries."""
         try:
-            return await self.guard.admit(call.parts, call.deadline_s)
+            return await self.guard.admit(call.suspects, call.deadline_s)
         except crash_guard.WithheldError as error:
             status = 502 if call.may_have_run else 503
             raise Refusal(status, str(error), error.retry_after_s) from error
@@ -344,9 +346,10 @@
         self,
         call: direct_call.Call,
         tried: frozenset[ids.BackendId],
-        on_trial: tuple[ids.PromptPart, ...],
+        on_trial: tuple[ids.Suspect, ...],
     ) -> candidates_module.Candidate:
         resuming = call.exchange.started
+        tried |= self.guard.servers_on_trial(on_trial)
         demand = msgspec.structs.replace(
             call.demand,
             repeatable=call.can_retry,
@@ -380,6 +383,7 @@
                 raise AttemptError(Failure.NOT_SENT, "a grant has expired")
             call.sent += 1
             call.sent_to.add(call.backend)
+            self.server_ends.record_sent(call, candidate)
             headers = self._headers(
                 call, candidate, stream.received.last_event_id
             )
@@ -397,39 +401,17 @@
             reason = attempt.interrupted or str(error)
             if not attempt.interrupted:
                 candidate.mark_failed(time.monotonic())
-                if not attempt.writing and await self._has_ended(
-                    call, candidate
-                ):
-                    self.guard.record_crash(candidate.view.group, call.parts)
+                if not attempt.writing:
+                    await self.server_ends.examine(call, candidate)
             raise AttemptError(Failure.UNKNOWN, reason) from error
         finally:
+            self.server_ends.record_abandoned(call, candidate)
             candidate.attempts.discard(attempt)
             if attempt.meter is not None:
                 attempt.meter.has_ended = True
             if attempt.client is not None:
                 attempt.client.close()
 
-    async def _has_ended(
-        self, call: direct_call.Call, candidate: candidates_module.Candidate
-    ) -> bool:
-        """Return whether a head has ended, which its prompts may have caused.
-
-        A faulty head, or a link that is reset, breaks answers off as well.
-        """
-        if not candidate.view.model or not call.parts:
-            return False
-        if candidate.refused:
-            return True
-        try:
-            client = await http.Client.open(
-                candidate.view.address, END_CHECK_TIMEOUT_S
-            )
-        except http.ConnectError as error:
-            candidate.refused = error.refused
-            return error.refused
-        client.close()
-        return False
-
     async def _connect(self, attempt: Attempt) -> http.Client:
         candidate = attempt.candidate
         try:
@@ -439,6 +421,8 @@
         except http.ConnectError as error:
             now_s = time.monotonic()
             candidate.refused = error.refused
+            if error.refused:
+                self.server_ends.record_refused_connection(candidate)
             candidate.mark_failed(now_s)
             if candidate.view.model:
                 candidate.mark_silent(now_s)
@@ -491,6 +475,7 @@
         with self.answer_room.hold(client.close) as held:
             answer, body = await self._read_answer(call, attempt, client, held)
             self.check_answer(call, answer)
+            self.server_ends.record_answer(call, attempt.candidate)
             if answer.status >= 500 and call.is_repeatable:
                 failed = AttemptError(
                     Failure.UNKNOWN, f"status {answer.status}"
@@ -703,6 +688,7 @@
             after_ms=round((time.monotonic() - call.exchange.arrived_s) * 1000),
             parts=",".join(call.parts),
             digest=call.digest,
+            ended=candidate.refused,
             reason=error,
         )
 
@@ -790,7 +776,9 @@
                 if attempt.meter is not None:
                     attempt.meter.record(now_s, len(found))
                 if not attempt.writing:
-                    self.forwarder.guard.record_write(self.call.parts)
+                    self.forwarder.server_ends.record_answer(
+                        self.call, attempt.candidate
+                    )
                 attempt.writing = True
             await self._send(answer, self.received.add(found, content_type))
         if parser.buffer:
--- a/src/flamingocleat/request/request_digest.py
+++ b/src/flamingocleat/request/request_digest.py
@@ -26,4 +26,9 @@
         hasher.update(len(field).to_bytes(8, "big"))
         hasher.update(field)
     hasher.update(body)
-    return ids.RequestDigest(PREFIX + hasher.hexdigest())
+    return ids.RequestDigest(ids.Suspect(PREFIX + hasher.hexdigest()))
+
+
+def is_digest(suspect: ids.Suspect) -> bool:
+    """Return whether a suspect is a request, and not a part of prompts."""
+    return suspect.startswith(PREFIX)
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -78,6 +78,11 @@
         """Until when the server has asked for no requests."""
         return self.notices.find(self.lifetime).wait_until_s
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server has said that it leaves."""
+        return self.notices.find(self.lifetime).is_leaving
+
     def accepts(self, now_s: float) -> bool:
         """Return whether the server wants requests, as far as it has said."""
         return self.notices.find(self.lifetime).accepts(now_s)
--- a/src/flamingocleat/version/crashes.py
+++ b/src/flamingocleat/version/crashes.py
@@ -1,90 +1,69 @@
-"""Evidence on parts of prompts that end the servers that write on them.
+"""Evidence on parts of prompts and on requests that end servers.
 
-Handles a part that ends each server as it begins to write, among sound
-requests that share the caller and the other parts. A server that writes an
-event proves all parts of that request sound. Each end is blamed on the parts
-of the requests that were in flight there without an event, less those that
-proved sound since. All gateways share the evidence: merging it is idempotent
+Handles a part, or a request, that ends each server as it begins to write, among
+sound requests that share the caller and the other parts. A server that begins
+an answer proves that request and all parts of its prompt sound. Each end is
+blamed on what was in flight there without an answer, less what proved sound
+since (`blame.py`). All gateways share the evidence: merging it is idempotent
 and independent of the order, so that any of them may pass it on.
 """
 
 import collections.abc
 import enum
 import time
-
-import msgspec
+import types
 
 from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.process import logs
+from flamingocleat.version import blame as blame_module
 
 _log = logs.logger("crashes")
 
-MIN_BLAME = 1.5
-"""Blame from which a part is withheld. It takes two ends with no other
-suspect, or more with several."""
 MIN_BLAME_IF_WRITTEN = 1.0
-"""Blame from which a part that has been written on before is suspect."""
-HOLD_S = 60.0
-"""How long a part is withheld, from the last end that it is blamed for. Then
-one request may try it again; each further end doubles the time."""
-MAX_HOLD_S = 480.0
+"""Blame from which a suspect that has been answered before is suspect."""
 RETENTION_S = 600.0
-"""How long an end is remembered; longer than a part is withheld."""
+"""How long an end is remembered, or longer if its suspects ask for it."""
 MAX_CRASHES = 32
 """Bound on the ends that are remembered."""
 MAX_PARTS = 32
 """Bound on the parts that one end is blamed on."""
+MAX_REQUESTS = 32
+"""The same for requests."""
+SAME_TIME_S = 0.25
+"""Times of one event may differ by as much, since evidence passes through
+other processes."""
+
+RequestTimes = collections.abc.Mapping[ids.RequestDigest, float]
+"""When requests were first sent to a server."""
+
+_NO_BLAME = blame_module.PartBlame()
 
 
 class Verdict(enum.Enum):
-    """What to do with a request that has a part."""
+    """What to do with a request that is suspect, or has a suspect part."""
 
     CLEAR = "clear"
     SUSPECT = "suspect"
-    """One request with it may be tried at a time."""
+    """One such request may be tried at a time."""
     WITHHELD = "withheld"
-    """No request with it may reach a server."""
-
-
-class Crash(msgspec.Struct):
-    """The end of a head, while requests without an event were in flight."""
-
-    ended_s: float
-    parts: set[ids.PromptPart]
-    """Parts of the prompts of those requests."""
-
-
-class Blame(msgspec.Struct):
-    """How far a part is blamed for ends of heads."""
-
-    total: float = 0.0
-    """Sum of its shares; the blame for one end adds up to 1."""
-    last_ended_s: float = float("-inf")
-    """The last end that it is blamed for."""
-
-    @property
-    def withheld_until_s(self) -> float:
-        """Until when no request with the part may reach a server."""
-        if self.total < MIN_BLAME:
-            return float("-inf")
-        hold_s = HOLD_S * 2 ** max(0, int(self.total) - 2)
-        return self.last_ended_s + min(MAX_HOLD_S, hold_s)
+    """No such request may reach a server."""
 
 
 class CrashRecord:
-    """Ends of heads and which parts of prompts may have caused them."""
+    """Ends of servers, and what may have caused them."""
 
     def __init__(
         self, clock: collections.abc.Callable[[], float] = time.monotonic
     ) -> None:
         self.clock = clock
-        self.crashes: dict[str, Crash] = {}
-        """By group, since each group has one head, which ends once."""
-        self.written_s: dict[ids.PromptPart, float] = {}
-        """When the parts of these ends were last written on, if ever."""
-        self.blames: dict[ids.PromptPart, Blame] = {}
-        """Parts that are blamed; derived from the fields above."""
+        self.crashes: dict[str, blame_module.Crash] = {}
+        """By group, since each group has one head, which ends once, or by the
+        lifetime of another server."""
+        self.written_s: dict[ids.Suspect, float] = {}
+        """When the suspects of these ends were last answered, if ever."""
+        self.blames: dict[ids.Suspect, blame_module.Blame] = {}
+        """What is blamed; derived from the fields above."""
         self.version = 0
         """Increases with each change of the blame."""
         self.own_version = 0
@@ -96,14 +75,22 @@
         group: str,
         parts: collections.abc.Iterable[ids.PromptPart],
         ended_s: float,
+        requests: RequestTimes = types.MappingProxyType({}),
     ) -> None:
-        """Record that a head ended before requests had an event."""
-        if self._add_crash(group, parts, ended_s):
+        """Record that a server ended before requests had an answer.
+
+        Args:
+            group: The group of a head, or the lifetime of another server.
+            parts: Parts of the prompts of those requests.
+            ended_s: When it ended.
+            requests: When each of the requests was first sent there.
+        """
+        if self._add_crash(group, parts, requests, ended_s):
             self.own_version += 1
             self._update()
 
-    def record_write(self, part: ids.PromptPart, written_s: float) -> None:
-        """Record that a server wrote on a part of one of these ends."""
+    def record_write(self, part: ids.Suspect, written_s: float) -> None:
+        """Record that a server began to answer a suspect of these ends."""
         if self._add_write(part, written_s):
             self.own_version += 1
             self._update()
@@ -114,7 +101,11 @@
         changed = False
         for end in evidence.ends:
             ended_s = now_s - end.ended_ms / 1000
-            changed |= self._add_crash(end.group, end.parts, ended_s)
+            requests = {
+                each.digest: now_s - each.sent_ms / 1000
+                for each in end.requests
+            }
+            changed |= self._add_crash(end.group, end.parts, requests, ended_s)
         for written in evidence.written:
             written_s = now_s - written.written_ms / 1000
             changed |= self._add_write(written.part, written_s)
@@ -126,10 +117,16 @@
         now_s = self.clock()
         return messages.CrashEvidence(
             tuple(
-                messages.HeadEnd(
+                messages.ServerEnd(
                     group,
                     round((now_s - crash.ended_s) * 1000),
                     tuple(sorted(crash.parts)),
+                    tuple(
+                        messages.SentRequest(
+                            digest, round((now_s - sent_s) * 1000)
+                        )
+                        for digest, sent_s in sorted(crash.requests.items())
+                    ),
                 )
                 for group, crash in self.crashes.items()
             ),
@@ -139,8 +136,8 @@
             ),
         )
 
-    def verdict(self, part: ids.PromptPart) -> Verdict:
-        """Return what to do with a request that has this part."""
+    def verdict(self, part: ids.Suspect) -> Verdict:
+        """Return what to do with a request with this digest or part."""
         blame = self.blames.get(part)
         if blame is None:
             return Verdict.CLEAR
@@ -158,27 +155,28 @@
         self,
         group: str,
         parts: collections.abc.Iterable[ids.PromptPart],
+        requests: RequestTimes,
         ended_s: float,
     ) -> bool:
-        """Add parts to an end; return whether that may change the blame."""
-        if self.clock() - ended_s > RETENTION_S:
-            return False
+        """Add suspects to an end; return whether that may change the blame."""
         crash = self.crashes.get(group)
-        known = crash.parts if crash else set()
-        added = sorted(set(parts) - known)[: MAX_PARTS - len(known)]
-        if not added:
-            return False
         if crash is None:
-            crash = self.crashes[group] = Crash(ended_s, set())
-        crash.parts.update(added)
-        self._forget()
-        return True
+            if self.clock() - ended_s > RETENTION_S:
+                return False
+            crash = blame_module.Crash(ended_s, set())
+        changed = _add_parts(crash, parts) | _add_requests(crash, requests)
+        if changed:
+            self.crashes[group] = crash
+            self._forget()
+        return changed
 
-    def _add_write(self, part: ids.PromptPart, written_s: float) -> bool:
-        """Add a write; return whether that may change the blame."""
+    def _add_write(self, part: ids.Suspect, written_s: float) -> bool:
+        """Add an answer; return whether that may change the blame."""
         before_s = self.written_s.get(part)
         ends_s = [
-            each.ended_s for each in self.crashes.values() if part in each.parts
+            each.ended_s
+            for each in self.crashes.values()
+            if part in each.parts or part in each.requests
         ]
         if not ends_s or (before_s is not None and written_s <= before_s):
             return False
@@ -190,71 +188,78 @@
     def _forget(self) -> None:
         """Forget old ends, and the oldest beyond the bound.
 
-        Those of parts that are withheld go last.
+        Those whose suspects are withheld go last.
         """
         now_s = self.clock()
+        blames = {
+            key: [
+                self.blames[each]
+                for each in crash.suspects & self.blames.keys()
+            ]
+            for key, crash in self.crashes.items()
+        }
         kept = sorted(
             self.crashes,
-            key=lambda group: (
-                any(
-                    self.verdict(part) is Verdict.WITHHELD
-                    for part in self.crashes[group].parts
-                ),
-                self.crashes[group].ended_s,
+            key=lambda key: (
+                any(each.withheld_until_s > now_s for each in blames[key]),
+                self.crashes[key].ended_s,
             ),
         )[-MAX_CRASHES:]
         self.crashes = {
-            group: self.crashes[group]
-            for group in kept
-            if now_s - self.crashes[group].ended_s <= RETENTION_S
+            key: self.crashes[key]
+            for key in kept
+            if now_s - self.crashes[key].ended_s <= RETENTION_S
+            or any(each.remembered_until_s > now_s for each in blames[key])
         }
-        parts = set().union(*(each.parts for each in self.crashes.values()))
+        suspects = set().union(
+            *(each.suspects for each in self.crashes.values())
+        )
         self.written_s = {
-            part: written_s
-            for part, written_s in self.written_s.items()
-            if part in parts
+            suspect: written_s
+            for suspect, written_s in self.written_s.items()
+            if suspect in suspects
         }
 
     def _update(self) -> None:
         """Assess the blame anew, log what changes, and notify listeners."""
-        before, self.blames = self.blames, self._assess()
+        before = self.blames
+        self.blames = blame_module.assess(self.crashes, self.written_s)
         self.version += 1
-        for part in self.blames.keys() | before.keys():
-            old = before.get(part, Blame())
-            new = self.blames.get(part, Blame())
-            if (old.total >= MIN_BLAME) != (new.total >= MIN_BLAME):
+        for suspect in self.blames.keys() | before.keys():
+            old = before.get(suspect, _NO_BLAME)
+            new = self.blames.get(suspect, _NO_BLAME)
+            is_held = new.total >= blame_module.MIN_BLAME
+            if (old.total >= blame_module.MIN_BLAME) != is_held:
                 logs.warning(
                     _log,
-                    "part_withheld"
-                    if new.total >= MIN_BLAME
-                    else "part_released",
-                    part=part,
+                    "suspect_withheld" if is_held else "suspect_released",
+                    suspect=suspect,
                     blame=round(new.total, 2),
                     ends=len(self.crashes),
                 )
         for callback in self.listeners:
             callback()
 
-    def _assess(self) -> dict[ids.PromptPart, Blame]:
-        """Return the blame of each part."""
-        blames: dict[ids.PromptPart, Blame] = {}
-        for crash in self.crashes.values():
-            blamed = self._blamed(crash)
-            for part in blamed:
-                blame = blames.setdefault(part, Blame())
-                blame.total += 1 / len(blamed)
-                blame.last_ended_s = max(blame.last_ended_s, crash.ended_s)
-        return blames
-
-    def _blamed(self, crash: Crash) -> set[ids.PromptPart]:
-        """Return the parts that share the blame for an end.
 
-        Those that no server ever wrote on come first; without such, those that
-        none has written on since.
-        """
-        never = {each for each in crash.parts if each not in self.written_s}
-        return never or {
-            each
-            for each in crash.parts
-            if self.written_s[each] <= crash.ended_s
-        }
+def _add_parts(
+    crash: blame_module.Crash,
+    parts: collections.abc.Iterable[ids.PromptPart],
+) -> bool:
+    """Add parts up to the bound; return whether any is new."""
+    room = MAX_PARTS - len(crash.parts)
+    added = sorted(set(parts) - crash.parts)[:room]
+    crash.parts.update(added)
+    return bool(added)
+
+
+def _add_requests(crash: blame_module.Crash, requests: RequestTimes) -> bool:
+    """Add requests up to the bound; return whether anything has changed."""
+    changed = False
+    for digest, sent_s in sorted(requests.items()):
+        known_s = crash.requests.get(digest)
+        if known_s is None and len(crash.requests) >= MAX_REQUESTS:
+            continue
+        if known_s is None or sent_s < known_s - SAME_TIME_S:
+            crash.requests[digest] = sent_s
+            changed = True
+    return changed
--- /dev/null
+++ b/tests/direct/test_blame.py
@@ -0,0 +1,146 @@
+"""Which requests are blamed for ends of servers."""
+
+import pytest
+
+from flamingocleat.version import blame
+from flamingocleat.version import crashes
+
+Verdict = crashes.Verdict
+LETHAL, SOUND = "r:1e7a1", "r:50d"
+SENT_S = 0.05
+"""Time from sending a request until its server ends."""
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def record():
+    return crashes.CrashRecord(Clock())
+
+
+def end(record, server: str, *digests: str, sent_s: float = SENT_S) -> None:
+    """Let a server end some time after these requests were sent to it."""
+    record.clock.now_s += 0.1
+    now_s = record.clock.now_s
+    sent = dict.fromkeys(digests, now_s - sent_s)
+    record.record_crash(server, (), now_s, sent)
+
+
+def answer(record, digest: str) -> None:
+    record.clock.now_s += 0.1
+    record.record_write(digest, record.clock.now_s)
+
+
+def test_request_at_two_ends_is_withheld_and_those_beside_it_are_not():
+    """Guards against blame that is spread over whoever was beside it."""
+    record = crashes.CrashRecord(Clock())
+    end(record, "a", LETHAL, "r:1", "r:2", "r:3")
+    assert record.verdict(LETHAL) is Verdict.SUSPECT
+    end(record, "b", LETHAL, "r:4", "r:5")
+    assert record.verdict(LETHAL) is Verdict.WITHHELD
+    for number in range(1, 6):
+        assert record.verdict(f"r:{number}") is Verdict.CLEAR
+
+
+def test_frequent_request_stays_clear_while_others_are_unknown(record):
+    """Guards against three unlucky ends that shut out what many send."""
+    end(record, "a", SOUND, "r:1")
+    answer(record, SOUND)
+    for number in range(2, 6):
+        end(record, f"b-{number}", SOUND, f"r:{number}")
+    assert record.verdict(SOUND) is Verdict.CLEAR
+
+
+def test_request_that_is_answered_after_each_end_is_not_blamed(record):
+    """Guards against a sound request at servers that end by themselves."""
+    for number in range(4):
+        end(record, f"a-{number}", SOUND)
+        answer(record, SOUND)
+        assert record.verdict(SOUND) is Verdict.CLEAR
+
+
+def test_servers_that_end_together_count_once(record):
+    """Guards against a new request that is at several ends of one cause."""
+    for number in range(5):
+        record.clock.now_s += 0.01
+        record.record_crash(
+            f"a-{number}", (), record.clock.now_s, {SOUND: 999.9}
+        )
+    assert record.verdict(SOUND) is Verdict.SUSPECT
+    end(record, "b", SOUND)
+    assert record.verdict(SOUND) is Verdict.WITHHELD
+
+
+def test_each_end_after_a_trial_multiplies_the_time(record):
+    """Guards against more retries than rule BUDGET allows on a long day."""
+    end(record, "a", LETHAL)
+    end(record, "b", LETHAL)
+    hold_s = blame.REQUEST_HOLD_S
+    for server in ("c", "d", "e"):
+        record.clock.now_s += hold_s - 1.0
+        assert record.verdict(LETHAL) is Verdict.WITHHELD
+        record.clock.now_s += 1.0
+        assert record.verdict(LETHAL) is Verdict.SUSPECT
+        end(record, server, LETHAL)
+        hold_s *= 8
+    assert record.verdict(LETHAL) is Verdict.WITHHELD
+    assert hold_s > 8 * 3600
+
+
+def test_withheld_request_is_released_once_it_is_answered(record):
+    """Guards against a request that is shut out though servers were mended."""
+    end(record, "a", LETHAL)
+    end(record, "b", LETHAL)
+    record.clock.now_s += blame.REQUEST_HOLD_S
+    answer(record, LETHAL)
+    assert record.verdict(LETHAL) is Verdict.CLEAR
+
+
+def test_parts_are_blamed_as_without_requests(record):
+    """Guards against parts that are withheld later for the requests beside."""
+    for server in ("a", "b"):
+        record.clock.now_s += 0.1
+        now_s = record.clock.now_s
+        sent = {f"r:{server}": now_s, "r:1": now_s}
+        record.record_crash(server, ("part",), now_s, sent)
+    assert record.blames["part"].total == 2
+
+
+def test_requests_of_one_end_are_bounded(record):
+    """Guards against a busy server that fills the memory of all gateways."""
+    end(record, "a", *(f"r:{n:03}" for n in range(200)))
+    (crash,) = record.crashes.values()
+    assert len(crash.requests) == crashes.MAX_REQUESTS
+
+
+def test_many_lethal_requests_keep_those_that_are_withheld(record):
+    """Guards against a caller who sends many different lethal requests."""
+    end(record, "a", LETHAL)
+    end(record, "b", LETHAL)
+    for number in range(2 * crashes.MAX_CRASHES):
+        end(record, f"c-{number}", f"r:{number}")
+    assert record.verdict(LETHAL) is Verdict.WITHHELD
+    assert len(record.crashes) == crashes.MAX_CRASHES
+
+
+def test_merged_evidence_gives_the_same_verdicts():
+    """Guards against gateways that disagree on what to withhold."""
+    records = [crashes.CrashRecord(Clock()) for _ in range(3)]
+    end(records[0], "a", LETHAL, "r:1")
+    end(records[1], "a", LETHAL, "r:2")
+    end(records[1], "b", LETHAL)
+    answer(records[0], "r:1")
+    for _ in range(2):
+        for source in records:
+            for target in records:
+                target.merge(source.evidence())
+    for record in records:
+        assert record.verdict(LETHAL) is Verdict.WITHHELD
+        assert set(record.crashes["a"].requests) == {LETHAL, "r:1", "r:2"}
+        assert record.blames.keys() == {LETHAL}
--- a/tests/direct/test_crashes.py
+++ b/tests/direct/test_crashes.py
@@ -4,6 +4,7 @@
 import pytest
 from hypothesis import strategies
 
+from flamingocleat.version import blame
 from flamingocleat.version import crashes
 
 Verdict = crashes.Verdict
@@ -87,12 +88,12 @@
     """A server may have been mended; each further end doubles the time."""
     for number in range(2):
         end(record, f"g-{number}", "a")
-    clock.now_s += crashes.HOLD_S
+    clock.now_s += blame.PART_HOLD_S
     assert record.verdict("a") is Verdict.SUSPECT
     end(record, "g-2", "a")
-    clock.now_s += crashes.HOLD_S
+    clock.now_s += blame.PART_HOLD_S
     assert record.verdict("a") is Verdict.WITHHELD
-    clock.now_s += crashes.HOLD_S
+    clock.now_s += blame.PART_HOLD_S
     assert record.verdict("a") is Verdict.SUSPECT
     write(record, "a")
     assert record.verdict("a") is Verdict.CLEAR
--- /dev/null
+++ b/tests/direct/test_server_ends.py
@@ -0,0 +1,127 @@
+"""What a server had to run as it ended, and which ends count."""
+
+import pytest
+
+from flamingocleat import ids
+from flamingocleat.request import server_ends
+from tests.direct import support
+
+LIFETIME = ids.Lifetime("b-0", 1)
+DIGEST = "r:1"
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def unanswered(clock):
+    return server_ends.Unanswered(clock)
+
+
+def test_request_that_was_given_up_counts_for_a_while(unanswered, clock):
+    """Guards against a server that ends as it runs what nobody waits for."""
+    unanswered.record_sent(LIFETIME, DIGEST)
+    clock.now_s += 10.0
+    assert unanswered.take(LIFETIME) == {DIGEST: 1000.0}
+    unanswered.record_abandoned(LIFETIME, DIGEST)
+    clock.now_s += server_ends.ABANDONED_S
+    assert unanswered.take(LIFETIME) == {DIGEST: 1000.0}
+    clock.now_s += 0.1
+    assert unanswered.take(LIFETIME) == {}
+    assert unanswered.sent == {}
+
+
+def test_answered_request_does_not_count(unanswered):
+    """Guards against blame for a request that a server survived."""
+    unanswered.record_sent(LIFETIME, DIGEST)
+    unanswered.record_answer(LIFETIME, DIGEST)
+    unanswered.record_abandoned(LIFETIME, DIGEST)
+    assert unanswered.sent == {}
+
+
+def test_request_counts_as_long_as_any_attempt_is_in_flight(unanswered, clock):
+    """Guards against forgetting a request that two callers wait for."""
+    unanswered.record_sent(LIFETIME, DIGEST)
+    unanswered.record_sent(LIFETIME, DIGEST)
+    unanswered.record_abandoned(LIFETIME, DIGEST)
+    clock.now_s += 2 * server_ends.ABANDONED_S
+    assert unanswered.take(LIFETIME) == {DIGEST: 1000.0}
+
+
+def test_other_lifetimes_do_not_count(unanswered):
+    """Guards against blame for the end of a former lifetime."""
+    unanswered.record_sent(LIFETIME, DIGEST)
+    assert unanswered.take(ids.Lifetime("b-0", 2)) == {}
+
+
+def test_requests_of_one_server_are_bounded(unanswered):
+    """Guards against a server that holds many requests without an answer."""
+    for number in range(2 * server_ends.MAX_UNANSWERED):
+        unanswered.record_sent(LIFETIME, f"r:{number}")
+    assert len(unanswered.take(LIFETIME)) == server_ends.MAX_UNANSWERED
+
+
+async def break_off_and_end(received: support.ReceivedRequest) -> None:
+    received.writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ("stops_first", "is_listed", "is_leaving", "counted"),
+    [
+        (True, True, False, 1),
+        (False, True, False, 0),
+        (True, False, False, 0),
+        (True, True, True, 0),
+    ],
+    ids=["crash", "reset", "withdrawn", "leaving"],
+)
+def test_only_an_unannounced_end_counts(
+    stops_first, is_listed, is_leaving, counted
+):
+    """Guards against blame for resets, drains and planned ends."""
+
+    async def scenario(harness):
+        async def end(received):
+            if stops_first:
+                backend.server.close()
+            if not is_listed:
+                harness.candidates.discard(["b-0"])
+            if is_leaving:
+                candidate.notices.record_leaving(candidate.lifetime, "1")
+            await break_off_and_end(received)
+
+        backend = await harness.add(end)
+        candidate = harness.candidate(0)
+        reply = await harness.request("/once/x", "POST", body=b"x")
+        assert reply.status == 502
+        record = harness.forwarder.guard.crashes
+        assert len(record.crashes) == counted
+
+    support.run_scenario(scenario)
+
+
+def test_end_of_a_server_whose_request_timed_out_is_blamed_on_it():
+    """Guards against a gateway that gives up just before the server ends."""
+
+    async def scenario(harness):
+        async def hang(received):
+            await received.wait_until_closed()
+
+        backend = await harness.add(hang)
+        await harness.request("/short/x", "POST", body=b"x")
+        backend.server.close()
+        await harness.request("/once/x", "POST", body=b"y")
+        (crash,) = harness.forwarder.guard.crashes.crashes.values()
+        assert len(crash.requests) == 1
+
+    support.run_scenario(scenario)
