Move attempts and streams of a gateway out of forward.py

No behaviour changes: the classes Attempt and AttemptError are in direct_attempt.py, Stream is in direct_stream.py.

--- /dev/null
+++ b/src/flamingocleat/request/direct_stream.py
@@ -0,0 +1,138 @@
+"""A caller's event stream, which a gateway relays from backend servers."""
+
+import asyncio
+import time
+import typing
+
+from flamingocleat.connection import http
+from flamingocleat.request import answer_room
+from flamingocleat.request import continuation
+from flamingocleat.request import direct_attempt as attempts
+from flamingocleat.request import direct_call
+from flamingocleat.request import events
+
+if typing.TYPE_CHECKING:
+    from flamingocleat.request import forward
+
+FAILURE_BODY_TIMEOUT_S = 0.5
+"""Time within which the body of a stream's failure must arrive."""
+
+
+class Stream:
+    """A caller's event stream, which may come from several servers in turn."""
+
+    def __init__(
+        self, call: direct_call.Call, forwarder: "forward.Forwarder"
+    ) -> None:
+        self.call = call
+        self.forwarder = forwarder
+        self.received = continuation.ReceivedEvents(call.last_event_id)
+
+    async def relay(
+        self, attempt: attempts.Attempt, client: http.Client
+    ) -> None:
+        """Forward events until the stream ends; raise if it breaks."""
+        attempt.meter = self.forwarder.pace.begin(attempt, self.call)
+        answer = await client.answer()
+        self.forwarder.record_head(attempt, answer)
+        self.forwarder.check_answer(self.call, answer)
+        if answer.status != 200:
+            await self._send_failure(answer, await _read_failure(client))
+            return
+        try:
+            await self._relay_events(attempt, client, answer)
+        except continuation.DiscontinuityError as error:
+            raise attempts.AttemptError(
+                attempts.Failure.UNKNOWN, str(error)
+            ) from error
+        if not self.call.exchange.started:
+            self.call.exchange.start(200, forwarded_headers(answer.headers))
+        await self.call.exchange.finish()
+        attempt.candidate.mark_succeeded()
+        self.forwarder.record_answer(self.call, 200, "answered")
+
+    async def _relay_events(
+        self,
+        attempt: attempts.Attempt,
+        client: http.Client,
+        answer: http.Answer,
+    ) -> None:
+        content_type = answer.header(b"content-type")
+        self.received.begin_answer(content_type)
+        with self.forwarder.answer_room.hold(client.close) as held:
+            await self._relay_parsed(attempt, client, answer, held)
+        self.received.end_answer()
+
+    async def _relay_parsed(
+        self,
+        attempt: attempts.Attempt,
+        client: http.Client,
+        answer: http.Answer,
+        held: answer_room.HeldAnswer,
+    ) -> None:
+        content_type = answer.header(b"content-type")
+        parser = events.EventParser(needs_ids=self.call.route.resumable)
+        while data := await client.read():
+            try:
+                found = parser.feed(data)
+            except ValueError as error:
+                raise http.BrokenAnswerError(str(error)) from error
+            held.resize(len(parser.buffer))
+            if held.has_ended:
+                raise http.BrokenAnswerError("no room for an event")
+            if any(event.has_fields for event in found):
+                now_s = time.monotonic()
+                attempt.candidate.mark_alive(now_s)
+                if attempt.meter is not None:
+                    attempt.meter.record(now_s, len(found))
+                if not attempt.writing:
+                    self.forwarder.server_ends.record_answer(
+                        self.call, attempt.candidate
+                    )
+                attempt.writing = True
+            await self._send(answer, self.received.add(found, content_type))
+        if parser.buffer:
+            raise http.BrokenAnswerError("the stream ends within an event")
+
+    async def _send_failure(self, answer: http.Answer, body: bytes) -> None:
+        if self.call.exchange.started:
+            raise attempts.AttemptError(
+                attempts.Failure.UNKNOWN,
+                f"resumption failed with {answer.status}",
+            )
+        if answer.status >= 500:
+            failed = attempts.AttemptError(
+                attempts.Failure.UNKNOWN, f"status {answer.status}"
+            )
+            failed.answer = (answer, body)
+            raise failed
+        await self.forwarder.send_answer(self.call, answer, body)
+
+    async def _send(
+        self, answer: http.Answer, unsent: list[events.Event]
+    ) -> None:
+        exchange = self.call.exchange
+        if not unsent:
+            return
+        if not exchange.started:
+            self.forwarder.record_first_byte(self.call)
+            exchange.start(200, forwarded_headers(answer.headers))
+        await exchange.send(b"".join(event.data for event in unsent))
+
+
+async def _read_failure(client: http.Client) -> bytes:
+    """Return the body of a stream's failure; raise BrokenAnswerError."""
+    try:
+        async with asyncio.timeout(FAILURE_BODY_TIMEOUT_S):
+            return await client.read_all(http.MAX_SHORT_ANSWER_BYTES)
+    except TimeoutError as error:
+        raise http.BrokenAnswerError("the failure does not end") from error
+
+
+def forwarded_headers(headers: http.Headers) -> http.Headers:
+    """Return a server's headers without the hop-by-hop ones and the length."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in http.HOP_BY_HOP and name != b"content-length"
+    ]
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections.abc
-import enum
 import random
 import time
 
@@ -23,10 +22,10 @@
 from flamingocleat.request import admission as admission_module
 from flamingocleat.request import answer_room
 from flamingocleat.request import budget as budget_module
-from flamingocleat.request import continuation
 from flamingocleat.request import crash_guard
+from flamingocleat.request import direct_attempt as attempts
 from flamingocleat.request import direct_call
-from flamingocleat.request import events
+from flamingocleat.request import direct_stream
 from flamingocleat.request import header_names as header_names_module
 from flamingocleat.request import open_requests
 from flamingocleat.request import pace_samples
@@ -49,8 +48,6 @@
 """A request with less time remaining is not sent."""
 MAX_RETRY_AFTER_FRACTION = 1 / 3
 """Bounds Retry-After to this fraction of the caller's remaining time."""
-FAILURE_BODY_TIMEOUT_S = 0.5
-"""Time within which the body of a stream's failure must arrive."""
 NO_VIEW_RETRY_AFTER_S = 0.5
 """Shortest Retry-After while no configuration has arrived yet."""
 FIRST_VIEW_S = 1.6
@@ -87,60 +84,6 @@
         self.retry_after_s = retry_after_s
 
 
-class Failure(enum.Enum):
-    """How an attempt failed."""
-
-    NOT_SENT = "not-sent"
-    NOT_RUN = "not-run"
-    """The server states that it has not run the request."""
-    UNKNOWN = "unknown"
-    """The request may have run, or part of its answer was lost."""
-
-
-class AttemptError(errors.FlamingocleatError):
-    """An attempt that did not return a complete answer."""
-
-    def __init__(self, failure: Failure, reason: str) -> None:
-        super().__init__(reason)
-        self.failure = failure
-        self.answer: tuple[http.Answer, bytes] | None = None
-        """The server's own error response, if it sent one."""
-
-
-class Attempt:
-    """One request to one server; listed in the candidate's `attempts`."""
-
-    def __init__(
-        self, candidate: candidates_module.Candidate, call: direct_call.Call
-    ) -> None:
-        self.candidate = candidate
-        self.request_id = call.request_id
-        self.started_s = time.monotonic()
-        self.writing = False
-        self.prompt_tokens = call.demand.prompt_tokens
-        self.client: http.Client | None = None
-        self.can_retry = call.can_retry
-        self.interrupted = ""
-        self.meter: pace_samples.StreamMeter | None = None
-
-    def interrupt(self, reason: str) -> None:
-        """Abort the attempt if its request may be retried elsewhere."""
-        if self.can_retry and not self.interrupted:
-            self.interrupted = reason
-            logs.info(
-                _log,
-                "attempt_interrupted",
-                request=self.request_id,
-                backend=self.candidate.view.backend,
-                group=self.candidate.view.group,
-                connected=self.client is not None,
-                writing=self.writing,
-                reason=reason,
-            )
-            if self.client is not None:
-                self.client.close()
-
-
 class Forwarder:
     """Serves the callers of one gateway."""
 
@@ -297,16 +240,16 @@
     async def _serve(self, call: direct_call.Call) -> None:
         tried: frozenset[ids.BackendId] = frozenset()
         connect_failures = 0
-        stream = Stream(call, self)
+        stream = direct_stream.Stream(call, self)
         while True:
             with self.guard.trial(await self._admit(call)) as on_trial:
                 error = await self._try_once(call, stream, tried, on_trial)
             if error is None:
                 return
-            if error.failure is Failure.UNKNOWN:
+            if error.failure is attempts.Failure.UNKNOWN:
                 call.may_have_run = True
             tried |= {call.backend}
-            connect_failures += error.failure is Failure.NOT_SENT
+            connect_failures += error.failure is attempts.Failure.NOT_SENT
             if not self._may_retry(call, error, connect_failures):
                 await self._fail(call, error)
                 return
@@ -314,10 +257,10 @@
     async def _try_once(
         self,
         call: direct_call.Call,
-        stream: "Stream",
+        stream: direct_stream.Stream,
         tried: frozenset[ids.BackendId],
         on_trial: tuple[ids.Suspect, ...],
-    ) -> AttemptError | None:
+    ) -> attempts.AttemptError | None:
         """Serve a call by one server; return why that failed, or None."""
         candidate = await self._place(call, tried, on_trial)
         placed_s = time.monotonic()
@@ -325,8 +268,11 @@
         try:
             with self.guard.trial_at(call.backend, on_trial):
                 await self._attempt(call, candidate, stream)
-        except AttemptError as error:
-            if error.failure is Failure.NOT_RUN or error.answer is not None:
+        except attempts.AttemptError as error:
+            if (
+                error.failure is attempts.Failure.NOT_RUN
+                or error.answer is not None
+            ):
                 self.server_ends.record_failure(call, candidate)
             self._log_failure(call, candidate, error)
             return error
@@ -371,16 +317,20 @@
         self,
         call: direct_call.Call,
         candidate: candidates_module.Candidate,
-        stream: "Stream",
+        stream: direct_stream.Stream,
     ) -> None:
-        attempt = Attempt(candidate, call)
+        attempt = attempts.Attempt(candidate, call)
         candidate.attempts.add(attempt)
         try:
             client = await self._connect(attempt)
             if call.remaining_s() < MIN_REMAINING_S:
-                raise AttemptError(Failure.NOT_SENT, "no time is left")
+                raise attempts.AttemptError(
+                    attempts.Failure.NOT_SENT, "no time is left"
+                )
             if not self.admission.cold.may_send(candidate):
-                raise AttemptError(Failure.NOT_SENT, "a grant has expired")
+                raise attempts.AttemptError(
+                    attempts.Failure.NOT_SENT, "a grant has expired"
+                )
             call.sent += 1
             call.sent_to.add(call.backend)
             self.server_ends.record_sent(call, candidate)
@@ -403,7 +353,9 @@
                 candidate.mark_failed(time.monotonic())
                 if not attempt.writing:
                     await self.server_ends.examine(call, candidate)
-            raise AttemptError(Failure.UNKNOWN, reason) from error
+            raise attempts.AttemptError(
+                attempts.Failure.UNKNOWN, reason
+            ) from error
         finally:
             self.server_ends.record_abandoned(call, candidate)
             candidate.attempts.discard(attempt)
@@ -412,7 +364,7 @@
             if attempt.client is not None:
                 attempt.client.close()
 
-    async def _connect(self, attempt: Attempt) -> http.Client:
+    async def _connect(self, attempt: attempts.Attempt) -> http.Client:
         candidate = attempt.candidate
         try:
             client = await http.Client.open(
@@ -426,11 +378,15 @@
             candidate.mark_failed(now_s)
             if candidate.view.model:
                 candidate.mark_silent(now_s)
-            raise AttemptError(Failure.NOT_SENT, str(error)) from error
+            raise attempts.AttemptError(
+                attempts.Failure.NOT_SENT, str(error)
+            ) from error
         attempt.client = client
         attempt.started_s = time.monotonic()
         if attempt.interrupted:
-            raise AttemptError(Failure.NOT_SENT, attempt.interrupted)
+            raise attempts.AttemptError(
+                attempts.Failure.NOT_SENT, attempt.interrupted
+            )
         return client
 
     def _headers(
@@ -469,7 +425,10 @@
         return headers
 
     async def _answer(
-        self, call: direct_call.Call, attempt: Attempt, client: http.Client
+        self,
+        call: direct_call.Call,
+        attempt: attempts.Attempt,
+        client: http.Client,
     ) -> None:
         """Forward an answer that is not a stream."""
         with self.answer_room.hold(client.close) as held:
@@ -477,8 +436,8 @@
             self.check_answer(call, answer)
             self.server_ends.record_answer(call, attempt.candidate)
             if answer.status >= 500 and call.is_repeatable:
-                failed = AttemptError(
-                    Failure.UNKNOWN, f"status {answer.status}"
+                failed = attempts.AttemptError(
+                    attempts.Failure.UNKNOWN, f"status {answer.status}"
                 )
                 failed.answer = (answer, body)
                 raise failed
@@ -490,7 +449,7 @@
     async def _read_answer(
         self,
         call: direct_call.Call,
-        attempt: Attempt,
+        attempt: attempts.Attempt,
         client: http.Client,
         held: answer_room.HeldAnswer,
     ) -> tuple[http.Answer, bytes]:
@@ -507,7 +466,9 @@
         except TimeoutError as error:
             attempt.candidate.mark_failed(time.monotonic())
             self.pace.record_answer(attempt, call)
-            raise AttemptError(Failure.UNKNOWN, "no answer in time") from error
+            raise attempts.AttemptError(
+                attempts.Failure.UNKNOWN, "no answer in time"
+            ) from error
         except http.BrokenAnswerError as error:
             if held.has_ended:
                 raise http.BrokenAnswerError(
@@ -515,7 +476,9 @@
                 ) from error
             raise
 
-    def record_head(self, attempt: Attempt, answer: http.Answer) -> None:
+    def record_head(
+        self, attempt: attempts.Attempt, answer: http.Answer
+    ) -> None:
         """Record what the head of an answer tells about its server."""
         now_s = time.monotonic()
         candidate = attempt.candidate
@@ -535,7 +498,9 @@
             wait = answer.header(b"retry-after")
             notices.record_wait(candidate.lifetime, wait, now_s)
 
-    def _is_from_server(self, attempt: Attempt, answer: http.Answer) -> bool:
+    def _is_from_server(
+        self, attempt: attempts.Attempt, answer: http.Answer
+    ) -> bool:
         """Return whether an answer is the server's, and to this request.
 
         Another server at its address answers 421.
@@ -547,18 +512,25 @@
         """Check that an answer is the backend server's, and to this call.
 
         Raises:
-            AttemptError: It is not, or the server did not run the call.
+            attempts.AttemptError: It is not, or the server did not run it.
         """
         if answer.header(self.header_names.request_id) != call.request_id:
-            raise AttemptError(Failure.UNKNOWN, "answer has another id")
+            raise attempts.AttemptError(
+                attempts.Failure.UNKNOWN, "answer has another id"
+            )
         if answer.status == 421 or answer.header(self.header_names.not_run):
-            raise AttemptError(
-                Failure.NOT_RUN, f"server refused with {answer.status}"
+            raise attempts.AttemptError(
+                attempts.Failure.NOT_RUN,
+                f"server refused with {answer.status}",
             )
         if answer.header(b"content-encoding"):
-            raise AttemptError(Failure.UNKNOWN, "answer is encoded")
+            raise attempts.AttemptError(
+                attempts.Failure.UNKNOWN, "answer is encoded"
+            )
         if answer.status < 300 and not answer.header(self.header_names.proof):
-            raise AttemptError(Failure.UNKNOWN, "success without its mark")
+            raise attempts.AttemptError(
+                attempts.Failure.UNKNOWN, "success without its mark"
+            )
 
     async def send_answer(
         self, call: direct_call.Call, answer: http.Answer, body: bytes
@@ -566,7 +538,7 @@
         """Send a server's complete answer to the caller."""
         self.record_first_byte(call)
         await call.exchange.respond(
-            answer.status, forwarded_headers(answer.headers), body
+            answer.status, direct_stream.forwarded_headers(answer.headers), body
         )
         self.record_answer(call, answer.status, "answered")
 
@@ -577,22 +549,27 @@
             _FIRST_BYTE.observe(call.first_byte_s)
 
     def _may_retry(
-        self, call: direct_call.Call, error: AttemptError, connect_failures: int
+        self,
+        call: direct_call.Call,
+        error: attempts.AttemptError,
+        connect_failures: int,
     ) -> bool:
         if call.remaining_s() < MIN_REMAINING_S:
             return False
-        if error.failure is Failure.NOT_SENT:
+        if error.failure is attempts.Failure.NOT_SENT:
             return connect_failures < MAX_CONNECTS
         if call.sent >= call.route.max_attempts:
             return False
-        if error.failure is Failure.UNKNOWN and not call.is_repeatable:
+        if error.failure is attempts.Failure.UNKNOWN and not call.is_repeatable:
             return False
         if not self.budget.withdraw(call.service.name):
             return False
         _RETRIES.labels(reason=error.failure.value).inc()
         return True
 
-    async def _fail(self, call: direct_call.Call, error: AttemptError) -> None:
+    async def _fail(
+        self, call: direct_call.Call, error: attempts.AttemptError
+    ) -> None:
         """End a call that cannot be retried."""
         if call.exchange.started:
             # The answer is left unfinished, so that it does not look complete.
@@ -675,7 +652,7 @@
         self,
         call: direct_call.Call,
         candidate: candidates_module.Candidate,
-        error: AttemptError,
+        error: attempts.AttemptError,
     ) -> None:
         logs.info(
             _log,
@@ -715,111 +692,3 @@
             after_ms=round((time.monotonic() - call.exchange.arrived_s) * 1000),
             outcome=outcome,
         )
-
-
-class Stream:
-    """A caller's event stream, which may come from several servers in turn."""
-
-    def __init__(self, call: direct_call.Call, forwarder: Forwarder) -> None:
-        self.call = call
-        self.forwarder = forwarder
-        self.received = continuation.ReceivedEvents(call.last_event_id)
-
-    async def relay(self, attempt: Attempt, client: http.Client) -> None:
-        """Forward events until the stream ends; raise if it breaks."""
-        attempt.meter = self.forwarder.pace.begin(attempt, self.call)
-        answer = await client.answer()
-        self.forwarder.record_head(attempt, answer)
-        self.forwarder.check_answer(self.call, answer)
-        if answer.status != 200:
-            await self._send_failure(answer, await _read_failure(client))
-            return
-        try:
-            await self._relay_events(attempt, client, answer)
-        except continuation.DiscontinuityError as error:
-            raise AttemptError(Failure.UNKNOWN, str(error)) from error
-        if not self.call.exchange.started:
-            self.call.exchange.start(200, forwarded_headers(answer.headers))
-        await self.call.exchange.finish()
-        attempt.candidate.mark_succeeded()
-        self.forwarder.record_answer(self.call, 200, "answered")
-
-    async def _relay_events(
-        self, attempt: Attempt, client: http.Client, answer: http.Answer
-    ) -> None:
-        content_type = answer.header(b"content-type")
-        self.received.begin_answer(content_type)
-        with self.forwarder.answer_room.hold(client.close) as held:
-            await self._relay_parsed(attempt, client, answer, held)
-        self.received.end_answer()
-
-    async def _relay_parsed(
-        self,
-        attempt: Attempt,
-        client: http.Client,
-        answer: http.Answer,
-        held: answer_room.HeldAnswer,
-    ) -> None:
-        content_type = answer.header(b"content-type")
-        parser = events.EventParser(needs_ids=self.call.route.resumable)
-        while data := await client.read():
-            try:
-                found = parser.feed(data)
-            except ValueError as error:
-                raise http.BrokenAnswerError(str(error)) from error
-            held.resize(len(parser.buffer))
-            if held.has_ended:
-                raise http.BrokenAnswerError("no room for an event")
-            if any(event.has_fields for event in found):
-                now_s = time.monotonic()
-                attempt.candidate.mark_alive(now_s)
-                if attempt.meter is not None:
-                    attempt.meter.record(now_s, len(found))
-                if not attempt.writing:
-                    self.forwarder.server_ends.record_answer(
-                        self.call, attempt.candidate
-                    )
-                attempt.writing = True
-            await self._send(answer, self.received.add(found, content_type))
-        if parser.buffer:
-            raise http.BrokenAnswerError("the stream ends within an event")
-
-    async def _send_failure(self, answer: http.Answer, body: bytes) -> None:
-        if self.call.exchange.started:
-            raise AttemptError(
-                Failure.UNKNOWN, f"resumption failed with {answer.status}"
-            )
-        if answer.status >= 500:
-            failed = AttemptError(Failure.UNKNOWN, f"status {answer.status}")
-            failed.answer = (answer, body)
-            raise failed
-        await self.forwarder.send_answer(self.call, answer, body)
-
-    async def _send(
-        self, answer: http.Answer, unsent: list[events.Event]
-    ) -> None:
-        exchange = self.call.exchange
-        if not unsent:
-            return
-        if not exchange.started:
-            self.forwarder.record_first_byte(self.call)
-            exchange.start(200, forwarded_headers(answer.headers))
-        await exchange.send(b"".join(event.data for event in unsent))
-
-
-async def _read_failure(client: http.Client) -> bytes:
-    """Return the body of a stream's failure; raise BrokenAnswerError."""
-    try:
-        async with asyncio.timeout(FAILURE_BODY_TIMEOUT_S):
-            return await client.read_all(http.MAX_SHORT_ANSWER_BYTES)
-    except TimeoutError as error:
-        raise http.BrokenAnswerError("the failure does not end") from error
-
-
-def forwarded_headers(headers: http.Headers) -> http.Headers:
-    """Return a server's headers without the hop-by-hop ones and the length."""
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in http.HOP_BY_HOP and name != b"content-length"
-    ]
