Leave an answer at its silent server if the budget allows no retry

Callers saw streams end unfinished after 0.35 s of silence of their server, although it went on: the gateway interrupted all of its streams, and the retry budget then allowed only some of them to resume. The closing line says "broken off: head is silent" with sent=1.

The retry is now counted before the stream is interrupted; without one, or without time for one, the answer stays where it is. Requests whose answer has not begun are handled as before. The new test failed before.

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -107,15 +107,24 @@
         self.failure = failure
         self.answer: tuple[http.Answer, bytes] | None = None
         """The server's own error response, if it sent one."""
+        self.has_budget = False
+        """Whether the budget already counts the retry."""
 
 
 class Attempt:
     """One request to one server; listed in the candidate's `attempts`."""
 
     def __init__(
-        self, candidate: candidates_module.Candidate, call: direct_call.Call
+        self,
+        candidate: candidates_module.Candidate,
+        call: direct_call.Call,
+        budget: budget_module.Budget,
     ) -> None:
         self.candidate = candidate
+        self.call = call
+        self.budget = budget
+        self.has_budget = False
+        """Whether the budget already counts the retry."""
         self.request_id = call.request_id
         self.started_s = time.monotonic()
         self.writing = False
@@ -126,21 +135,33 @@
         self.meter: pace_samples.StreamMeter | None = None
 
     def interrupt(self, reason: str) -> None:
-        """Abort the attempt if its request may be retried elsewhere."""
-        if self.can_retry and not self.interrupted:
-            self.interrupted = reason
-            logs.info(
-                _log,
-                "attempt_interrupted",
-                request=self.request_id,
-                backend=self.candidate.view.backend,
-                group=self.candidate.view.group,
-                connected=self.client is not None,
-                writing=self.writing,
-                reason=reason,
+        """Abort the attempt if its request may be retried elsewhere.
+
+        An answer that has begun and may not be retried stays at its server,
+        which may go on.
+        """
+        if not self.can_retry or self.interrupted:
+            return
+        if self.call.exchange.started:
+            self.has_budget = (
+                self.call.remaining_s() >= MIN_REMAINING_S
+                and self.budget.withdraw(self.call.service.name)
             )
-            if self.client is not None:
-                self.client.close()
+            if not self.has_budget:
+                return
+        self.interrupted = reason
+        logs.info(
+            _log,
+            "attempt_interrupted",
+            request=self.request_id,
+            backend=self.candidate.view.backend,
+            group=self.candidate.view.group,
+            connected=self.client is not None,
+            writing=self.writing,
+            reason=reason,
+        )
+        if self.client is not None:
+            self.client.close()
 
 
 class Forwarder:
@@ -370,7 +391,7 @@
         candidate: candidates_module.Candidate,
         stream: "Stream",
     ) -> None:
-        attempt = Attempt(candidate, call)
+        attempt = Attempt(candidate, call, self.budget)
         candidate.attempts.add(attempt)
         try:
             client = await self._connect(attempt)
@@ -401,7 +422,9 @@
                     call, candidate
                 ):
                     self.guard.record_crash(candidate.view.group, call.parts)
-            raise AttemptError(Failure.UNKNOWN, reason) from error
+            failed = AttemptError(Failure.UNKNOWN, reason)
+            failed.has_budget = attempt.has_budget
+            raise failed from error
         finally:
             candidate.attempts.discard(attempt)
             if attempt.meter is not None:
@@ -602,7 +625,7 @@
             return False
         if error.failure is Failure.UNKNOWN and not call.is_repeatable:
             return False
-        if not self.budget.withdraw(call.service.name):
+        if not error.has_budget and not self.budget.withdraw(call.service.name):
             return False
         _RETRIES.labels(reason=error.failure.value).inc()
         return True
--- a/tests/direct/test_forward.py
+++ b/tests/direct/test_forward.py
@@ -285,6 +285,32 @@
     support.run_scenario(scenario)
 
 
+def test_stream_that_may_not_be_retried_stays_at_its_silent_head():
+    """Guards against answers cut short although their head goes on."""
+    goes_on = asyncio.Event()
+
+    async def pause(received):
+        await received.send_events(1, 4, end=False)
+        await goes_on.wait()
+        await received.send(support.chunk(support.event(5)) + b"0\r\n\r\n")
+
+    async def scenario(harness):
+        await harness.add(pause, "llm")
+        await harness.add(send_ten_events, "llm")
+        harness.forwarder.budget.withdraw = lambda _service: False
+        request = asyncio.create_task(harness.request("/stream/x", "POST"))
+        while not harness.candidates.check_silence():
+            await asyncio.sleep(0.02)
+        for attempt in list(harness.candidate(0).attempts):
+            attempt.interrupt("head is silent")
+        goes_on.set()
+        reply = await request
+        assert reply.is_complete
+        assert reply.body.endswith(support.event(5))
+
+    support.run_scenario(scenario)
+
+
 @pytest.mark.parametrize("path", ["/read/x", "/stream/x"])
 def test_disconnect_of_the_caller_ends_its_request(path):
     """A server must not go on serving a caller that has disconnected."""
