Hold SIGTERM back until a starting program handles it

Callers who had connected to a gateway that was being loaded were reset by a SIGTERM of that moment: it listens before it is loaded, and the signal ended the process with its queue.

--- a/src/flamingocleat/process/shutdown.py
+++ b/src/flamingocleat/process/shutdown.py
@@ -30,10 +30,14 @@
         """Whether SIGHUP has come before there was anything to reload."""
 
     def install(self) -> None:
-        """Request a stop on SIGTERM and SIGINT, and outlast SIGHUP."""
+        """Request a stop on SIGTERM and SIGINT, and outlast SIGHUP.
+
+        A SIGTERM that was held back during the start arrives now.
+        """
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.request, number.name)
         self.loop.add_signal_handler(signal.SIGHUP, self._handle_reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
 
     def install_reload(
         self, reload: collections.abc.Callable[[], None]
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -222,9 +222,9 @@
     assert completed.stderr.count("\n") == 1
 
 
-# SIGHUP ended a program in the first quarter of a second.
-@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.15, 0.3])
-def test_reload_during_the_start_does_not_end_a_program(tmp_path, after_s):
+@contextlib.contextmanager
+def starting_gateway(tmp_path):
+    """Yield a gateway's process, and a connection to it, as it is loaded."""
     path = tmp_path / "boot.json"
     address = local.free_address()
     document = {
@@ -242,11 +242,21 @@
     ) as process:
         host, _, port = address.rpartition(":")
         deadline_s = time.monotonic() + 20
-        while time.monotonic() < deadline_s:
+        while True:
             # From here on the program's own code runs.
             with contextlib.suppress(OSError):
-                socket.create_connection((host, int(port)), 1).close()
+                connection = socket.create_connection((host, int(port)), 1)
                 break
+            assert time.monotonic() < deadline_s
+        with connection:
+            yield process, connection
+
+
+# SIGHUP ended a program in the first quarter of a second.
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.15, 0.3])
+def test_reload_during_the_start_does_not_end_a_program(tmp_path, after_s):
+    with starting_gateway(tmp_path) as (process, connection):
+        connection.close()
         time.sleep(after_s)
         process.send_signal(signal.SIGHUP)
         for line in process.stdout:
@@ -256,3 +266,17 @@
         output = process.stdout.read()
         assert process.wait(20) == 0
         assert "gateway_stopped" in output
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.15, 0.3])
+def test_stop_during_the_start_answers_who_has_connected(tmp_path, after_s):
+    """Guards against requests that are reset in the queue of the listener."""
+    with starting_gateway(tmp_path) as (process, connection):
+        connection.settimeout(20)
+        connection.sendall(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+        time.sleep(after_s)
+        process.send_signal(signal.SIGTERM)
+        assert connection.recv(100).startswith(b"HTTP/1.1 503 ")
+        output = process.stdout.read()
+        assert process.wait(20) == 0
+        assert "gateway_stopped" in output
