Read what the last connections have sent before a stop closes them

Callers saw a connection that closed without an answer up to 0.4 s after their request: a gateway whose event loop stands still as the notice of its stop ends accepts them in the next step and closes them as idle in the one after, unread; with nothing in flight it exits at once.

The first close waits for one more poll; such requests get 503. The new test failed before with a reset.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -186,6 +186,8 @@
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
         self.forwarder.refuses_new = True
         self.server.close_listener()
+        # What the last connections have sent is read meanwhile.
+        await asyncio.sleep(IDLE_POLL_S)
         self.server.close_idle()
         logs.info(
             _log,
--- a/tests/direct/test_gateway_stop.py
+++ b/tests/direct/test_gateway_stop.py
@@ -1,6 +1,7 @@
 """Planned stops of a gateway: what its callers get."""
 
 import asyncio
+import socket
 import time
 
 import logbook
@@ -297,3 +298,26 @@
         assert (await hanging).status == 504
 
     run_scenario(monkeypatch, scenario)
+
+
+def test_connection_that_is_accepted_as_the_notice_ends_is_answered(
+    monkeypatch,
+):
+    """Guards against a close before a request that had come long before.
+
+    An event loop that stands still accepts and reads it only then.
+    """
+
+    async def scenario(program):
+        stopping = asyncio.create_task(program.stop())
+        await asyncio.sleep(0.1)
+        with socket.create_connection(("127.0.0.1", program.port)) as caller:
+            caller.sendall(
+                b"GET /once/x HTTP/1.1\r\nHost: front.example\r\n\r\n"
+            )
+            time.sleep(GRACE_S / 2)
+            await stopping
+            caller.settimeout(support.TIMEOUT_S)
+            assert caller.recv(100).startswith(b"HTTP/1.1 503 ")
+
+    run_scenario(monkeypatch, scenario)
