--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -179,6 +179,8 @@
         )
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
         self._run_step("listener", self.server.close_listener)
+        # What the last connections have sent is read meanwhile.
+        await asyncio.sleep(IDLE_POLL_S)
         self._run_step("idle", self.server.close_idle)
         logs.info(
             _log,
--- a/src/flamingocleat/process/shutdown.py
+++ b/src/flamingocleat/process/shutdown.py
@@ -35,11 +35,13 @@
         """Request a stop on SIGTERM and SIGINT, and outlast SIGHUP.
 
         The handlers stay when the event loop has closed, and do nothing then: a
-        loop's own handlers would leave the exit to the signals' defaults.
+        loop's own handlers would leave the exit to the signals' defaults. A
+        SIGTERM that was held back during the start arrives now.
         """
         for number in (signal.SIGTERM, signal.SIGINT):
             self._handle(number, functools.partial(self.request, number.name))
         self._handle(signal.SIGHUP, self._handle_reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
 
     def _handle(
         self,
