Leave a stream at its silent head if no other could go on with it

A head that paused for 0.6 s had its streams interrupted after 0.35 s, also where no other head was listed or heard from: they could not go on anywhere, and their callers got a part.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -346,8 +346,11 @@
                     time.monotonic() - (candidate.suspected_s or 0.0), 3
                 ),
             )
+            has_other = self.candidates.has_other(candidate)
             for attempt in list(candidate.attempts):
-                attempt.interrupt("head is silent")
+                # An answer that has begun could not go on anywhere else.
+                if has_other or not attempt.writing:
+                    attempt.interrupt("head is silent")
         if silent:
             self.subscriber.report_now.set()
 
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -290,6 +290,15 @@
             and not self._is_excluded(each.view, now_s)
         ]
 
+    def has_other(self, candidate: Candidate) -> bool:
+        """Return whether another server may get its requests."""
+        view = candidate.view
+        now_s = self.clock()
+        return any(
+            each is not candidate and not each.is_silent(now_s)
+            for each in self.find(view.service, view.model)
+        )
+
     def check_silence(self) -> list[Candidate]:
         """Return the candidates that are newly found silent."""
         now_s = self.clock()
