--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -179,6 +179,8 @@
         )
         await asyncio.sleep(max(0.0, notice_s - time.monotonic()))
         self._run_step("listener", self.server.close_listener)
+        # What the last connections have sent is read meanwhile.
+        await asyncio.sleep(IDLE_POLL_S)
         self._run_step("idle", self.server.close_idle)
         logs.info(
             _log,
@@ -344,8 +346,11 @@
                     time.monotonic() - (candidate.suspected_s or 0.0), 3
                 ),
             )
+            has_other = self.candidates.has_other(candidate)
             for attempt in list(candidate.attempts):
-                attempt.interrupt("head is silent")
+                # An answer that has begun could not go on anywhere else.
+                if has_other or not attempt.writing:
+                    attempt.interrupt("head is silent")
         if silent:
             self.subscriber.report_now.set()
 
--- a/src/flamingocleat/request/direct_attempt.py
+++ b/src/flamingocleat/request/direct_attempt.py
@@ -6,12 +6,16 @@
 from flamingocleat import errors
 from flamingocleat.connection import http
 from flamingocleat.process import logs
+from flamingocleat.request import budget as budget_module
 from flamingocleat.request import direct_call
 from flamingocleat.request import pace_samples
 from flamingocleat.version import candidates as candidates_module
 
 _log = logs.logger("forward")
 
+MIN_REMAINING_S = 0.05
+"""A request with less time remaining is not sent."""
+
 
 class Failure(enum.Enum):
     """How an attempt failed."""
@@ -31,15 +35,24 @@
         self.failure = failure
         self.answer: tuple[http.Answer, bytes] | None = None
         """The server's own error response, if it sent one."""
+        self.has_budget = False
+        """Whether the budget already counts the retry."""
 
 
 class Attempt:
     """One request to one server; listed in the candidate's `attempts`."""
 
     def __init__(
-        self, candidate: candidates_module.Candidate, call: direct_call.Call
+        self,
+        candidate: candidates_module.Candidate,
+        call: direct_call.Call,
+        budget: budget_module.Budget,
     ) -> None:
         self.candidate = candidate
+        self.call = call
+        self.budget = budget
+        self.has_budget = False
+        """Whether the budget already counts the retry."""
         self.request_id = call.request_id
         self.started_s = time.monotonic()
         self.writing = False
@@ -50,18 +63,30 @@
         self.meter: pace_samples.StreamMeter | None = None
 
     def interrupt(self, reason: str) -> None:
-        """Abort the attempt if its request may be retried elsewhere."""
-        if self.can_retry and not self.interrupted:
-            self.interrupted = reason
-            logs.info(
-                _log,
-                "attempt_interrupted",
-                request=self.request_id,
-                backend=self.candidate.view.backend,
-                group=self.candidate.view.group,
-                connected=self.client is not None,
-                writing=self.writing,
-                reason=reason,
+        """Abort the attempt if its request may be retried elsewhere.
+
+        An answer that has begun and may not be retried stays at its server,
+        which may go on.
+        """
+        if not self.can_retry or self.interrupted:
+            return
+        if self.call.exchange.started:
+            self.has_budget = (
+                self.call.remaining_s() >= MIN_REMAINING_S
+                and self.budget.withdraw(self.call.service.name)
             )
-            if self.client is not None:
-                self.client.close()
+            if not self.has_budget:
+                return
+        self.interrupted = reason
+        logs.info(
+            _log,
+            "attempt_interrupted",
+            request=self.request_id,
+            backend=self.candidate.view.backend,
+            group=self.candidate.view.group,
+            connected=self.client is not None,
+            writing=self.writing,
+            reason=reason,
+        )
+        if self.client is not None:
+            self.client.close()
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -44,8 +44,6 @@
 FIRST_ATTEMPT_FRACTION = 0.6
 """Fraction of the objective after which an idempotent call is retried on
 another server."""
-MIN_REMAINING_S = 0.05
-"""A request with less time remaining is not sent."""
 MAX_RETRY_AFTER_FRACTION = 1 / 3
 """Bounds Retry-After to this fraction of the caller's remaining time."""
 NO_VIEW_RETRY_AFTER_S = 0.5
@@ -319,11 +317,11 @@
         candidate: candidates_module.Candidate,
         stream: direct_stream.Stream,
     ) -> None:
-        attempt = attempts.Attempt(candidate, call)
+        attempt = attempts.Attempt(candidate, call, self.budget)
         candidate.attempts.add(attempt)
         try:
             client = await self._connect(attempt)
-            if call.remaining_s() < MIN_REMAINING_S:
+            if call.remaining_s() < attempts.MIN_REMAINING_S:
                 raise attempts.AttemptError(
                     attempts.Failure.NOT_SENT, "no time is left"
                 )
@@ -353,9 +351,9 @@
                 candidate.mark_failed(time.monotonic())
                 if not attempt.writing:
                     await self.server_ends.examine(call, candidate)
-            raise attempts.AttemptError(
-                attempts.Failure.UNKNOWN, reason
-            ) from error
+            failed = attempts.AttemptError(attempts.Failure.UNKNOWN, reason)
+            failed.has_budget = attempt.has_budget
+            raise failed from error
         finally:
             self.server_ends.record_abandoned(call, candidate)
             candidate.attempts.discard(attempt)
@@ -554,7 +552,7 @@
         error: attempts.AttemptError,
         connect_failures: int,
     ) -> bool:
-        if call.remaining_s() < MIN_REMAINING_S:
+        if call.remaining_s() < attempts.MIN_REMAINING_S:
             return False
         if error.failure is attempts.Failure.NOT_SENT:
             return connect_failures < MAX_CONNECTS
@@ -562,7 +560,7 @@
             return False
         if error.failure is attempts.Failure.UNKNOWN and not call.is_repeatable:
             return False
-        if not self.budget.withdraw(call.service.name):
+        if not error.has_budget and not self.budget.withdraw(call.service.name):
             return False
         _RETRIES.labels(reason=error.failure.value).inc()
         return True
