--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -32,6 +32,10 @@
 LETHAL_PART = "dead"
 """Part of a prompt that crashes each engine that begins to write on it."""
 RESTART_S = 1.0
+READ_PREFIX = "/r/"
+"""Path of calls to plain servers that may run more than once."""
+MAX_QUEUE_S = 0.5
+"""How long a lethal request waits at most before it begins to run."""
 DATA_CENTRES = ("z0", "z1")
 """The domains d0 and d1 are in these."""
 ACCEPT_S = 0.1
@@ -102,6 +106,14 @@
         self.violations.append(f"{guarantee}: {detail}")
 
 
+class Lethal(typing.Protocol):
+    """A request that ends each server that begins to run it."""
+
+    def record_arrival(self, request_id: str) -> None: ...
+
+    def record_end(self) -> None: ...
+
+
 class Fleet:
     """All backend servers of a deployment."""
 
@@ -115,6 +127,8 @@
         self.cold_s = 0.0
         """How long engines are cold after their start."""
         self.restarts: set[asyncio.Task] = set()
+        self.lethal_requests: dict[bytes, Lethal] = {}
+        """Lethal requests by their bodies."""
 
     def restart_later(self, server: "Server", delay_s: float) -> None:
         """Start a server that crashed again after a while."""
@@ -381,6 +395,8 @@
         )
         if self.limit_per_s is not None:
             self.limited_calls.append((time.monotonic(), request_id))
+        if lethal := self.fleet.lethal_requests.get(bytes(exchange.body)):
+            lethal.record_arrival(request_id)
         if self.service == "llm":
             await self._stream(exchange)
         else:
@@ -533,6 +549,8 @@
             await asyncio.sleep(EVENT_S)
             self._crash_and_restart()
             return
+        if await self._end_if_lethal(exchange):
+            return
         for name in self.members:
             member = self.fleet.servers.get(name)
             if member is not None and epoch not in member.ready_epochs:
@@ -562,6 +580,28 @@
         self.crash()
         self.fleet.restart_later(self, RESTART_S)
 
+    async def _end_if_lethal(self, exchange: http.Exchange) -> bool:
+        """End as a lethal request begins to run, also if it was given up."""
+        lethal = self.fleet.lethal_requests.get(bytes(exchange.body))
+        if lethal is None:
+            return False
+
+        async def run() -> None:
+            await asyncio.sleep(
+                self.fleet.random.choice(
+                    [EVENT_S, self.fleet.random.uniform(0.0, MAX_QUEUE_S)]
+                )
+            )
+            lethal.record_end()
+            self.crash()
+            self.fleet.restart_later(self, RESTART_S)
+
+        task = asyncio.create_task(run())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        await asyncio.wait([task])
+        return True
+
     async def _wait_while_stalled(self, epoch: int) -> bool:
         """Wait while the group is stalled; return whether it serves."""
         while self.epoch == epoch and self.state in SERVING_STATES:
@@ -577,11 +617,14 @@
             retry_after = (b"retry-after", str(self.wait_s).encode())
             await self._refuse(exchange, 503, retry_after)
             return
-        self.fleet.invariants.runs[request_id] += 1
+        if not exchange.target.startswith(READ_PREFIX.encode()):
+            self.fleet.invariants.runs[request_id] += 1
         if self.fleet.invariants.runs[request_id] > 1:
             self.fleet.invariants.record_violation(
                 "at most once", f"{request_id} ran twice"
             )
+        if await self._end_if_lethal(exchange):
+            return
         await asyncio.sleep(
             self.fleet.random.uniform(0.01, 0.1) * self.slowness
         )
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.platform import control_faults
+from tests.platform import lethal_faults
 from tests.platform import limit_faults
 from tests.platform import soak
 
@@ -30,6 +31,7 @@
     "send_crowd",
     *control_faults.NEW_FAULTS,
     *limit_faults.NEW_FAULTS,
+    *lethal_faults.NEW_FAULTS,
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
