--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -100,6 +100,8 @@
         """Time, data centre and id of each call that reached a server."""
         self.cold_arrivals = 0
         """Requests that reached cold engines."""
+        self.ends_beside: collections.Counter[bytes] = collections.Counter()
+        """Servers that ended with a body in flight since its last answer."""
 
     def record_violation(self, guarantee: str, detail: str) -> None:
         """Record the violation of a guarantee."""
@@ -195,6 +197,8 @@
         self.arrivals_s: list[float] = []
         """When calls reached it, in its current incarnation."""
         self.tasks: set[asyncio.Task] = set()
+        self.bodies: collections.Counter[bytes] = collections.Counter()
+        """Bodies of the calls in flight."""
         self.reset_state()
 
     def reset_state(self, name: str = "") -> None:
@@ -248,6 +252,8 @@
         if not self.is_alive:
             return
         self.is_alive = False
+        self.fleet.invariants.ends_beside.update((+self.bodies).keys())
+        self.bodies = collections.Counter()
         self.http.close_listener()
         if self.proxy is not None:
             self.proxy.server.close()
@@ -397,10 +403,15 @@
             self.limited_calls.append((time.monotonic(), request_id))
         if lethal := self.fleet.lethal_requests.get(bytes(exchange.body)):
             lethal.record_arrival(request_id)
-        if self.service == "llm":
-            await self._stream(exchange)
-        else:
-            await self._run_once(exchange)
+        body, bodies = bytes(exchange.body), self.bodies
+        bodies[body] += 1
+        try:
+            if self.service == "llm":
+                await self._stream(exchange)
+            else:
+                await self._run_once(exchange)
+        finally:
+            bodies[body] -= 1
 
     def _report(self) -> dict:
         """Return its state in the platform's format."""
@@ -560,6 +571,7 @@
         after = exchange.header(b"last-event-id")
         number = int(after) if after.isdigit() else 0
         answer = exchange if self.has_length else UnframedAnswer(exchange)
+        self._record_answer(exchange)
         answer.start(200, [*self._echo(exchange), SEAL_HEADER])
         while number < EVENTS:
             await asyncio.sleep(EVENT_S * self.slowness)
@@ -630,9 +642,13 @@
         )
         if self.loses_answers:
             return
+        self._record_answer(exchange)
         body = f"filed {request_id}".encode()
         await exchange.respond(200, [*self._echo(exchange), SEAL_HEADER], body)
 
+    def _record_answer(self, exchange: http.Exchange) -> None:
+        self.fleet.invariants.ends_beside[bytes(exchange.body)] = 0
+
     async def _refuse(
         self, exchange: http.Exchange, status: int, *headers: tuple
     ) -> None:
