Blame an end on a request though its repeat was refused

A server may hold a request in its queue and refuse a repeat of it. The refusal took the request off the list of what the server had to run, so that its end was blamed on nothing.

--- a/src/flamingocleat/request/server_ends.py
+++ b/src/flamingocleat/request/server_ends.py
@@ -56,6 +56,17 @@
             if not requests:
                 del self.sent[lifetime]
 
+    def record_failure(
+        self, lifetime: ids.Lifetime, digest: ids.RequestDigest
+    ) -> None:
+        """Record that an attempt failed and is over.
+
+        The server may still run the same request in another attempt.
+        """
+        sent = self.sent.get(lifetime, {}).get(digest)
+        if sent is not None and sent.attempts <= 0:
+            self.record_answer(lifetime, digest)
+
     def record_abandoned(
         self, lifetime: ids.Lifetime, digest: ids.RequestDigest
     ) -> None:
@@ -126,7 +137,7 @@
         self, call: direct_call.Call, candidate: candidates_module.Candidate
     ) -> None:
         """Record that a server refused a call, or answered with a failure."""
-        self.unanswered.record_answer(candidate.lifetime, call.digest)
+        self.unanswered.record_failure(candidate.lifetime, call.digest)
 
     def record_abandoned(
         self, call: direct_call.Call, candidate: candidates_module.Candidate
--- a/tests/direct/test_server_ends.py
+++ b/tests/direct/test_server_ends.py
@@ -1,5 +1,7 @@
 """What a server had to run as it ended, and which ends count."""
 
+import asyncio
+
 import pytest
 
 from flamingocleat import ids
@@ -125,3 +127,39 @@
         assert len(crash.requests) == 1
 
     support.run_scenario(scenario)
+
+
+def test_refusal_of_one_attempt_leaves_the_other_in_flight():
+    """Guards against an end that is blamed on nothing.
+
+    A server refuses a repeated request while the first one still waits there,
+    and ends as it begins to run that one.
+    """
+
+    async def scenario(harness):
+        refused = asyncio.Event()
+        arrivals = 0
+
+        async def answer(received):
+            nonlocal arrivals
+            arrivals += 1
+            if arrivals == 1:
+                await refused.wait()
+                backend.server.close()
+                await break_off_and_end(received)
+                return
+            await received.answer(b"", 503, "Flamingocleat-Not-Run: 1")
+
+        backend = await harness.add(answer)
+        first = asyncio.create_task(
+            harness.request("/once/x", "POST", body=b"x", X_Request_Id="1")
+        )
+        while not arrivals:
+            await asyncio.sleep(0.01)
+        await harness.request("/once/x", "POST", body=b"x", X_Request_Id="2")
+        refused.set()
+        await first
+        (crash,) = harness.forwarder.guard.crashes.crashes.values()
+        assert len(crash.requests) == 1
+
+    support.run_scenario(scenario)
