--- a/tests/direct/test_blame.py
+++ b/tests/direct/test_blame.py
@@ -77,6 +77,24 @@
     assert record.verdict(SOUND) is Verdict.WITHHELD
 
 
+def test_requests_sent_in_a_row_to_servers_that_end_together_count_once(record):
+    """Guards against counting what was sent before the first of these ends."""
+    for number in range(3):
+        sent_s = 999.9 + 0.01 * number
+        record.record_crash(
+            f"a-{number}", (), 1000.0 + 0.01 * number, {SOUND: sent_s}
+        )
+    assert record.verdict(SOUND) is Verdict.SUSPECT
+
+
+def test_ends_count_in_the_order_of_their_times(record):
+    """Guards against evidence on an older end that arrives later."""
+    for server, ended_s in (("b", 1000.0), ("a", 999.0)):
+        sent = {LETHAL: ended_s - SENT_S}
+        record.record_crash(server, (), ended_s, sent)
+    assert record.verdict(LETHAL) is Verdict.WITHHELD
+
+
 def test_each_end_after_a_trial_multiplies_the_time(record):
     """Guards against more retries than rule BUDGET allows on a long day."""
     end(record, "a", LETHAL)
