--- a/src/flamingocleat/request/crash_guard.py
+++ b/src/flamingocleat/request/crash_guard.py
@@ -206,7 +206,11 @@
         if not (parts or requests):
             return
         now_s = self.clock()
+        known_version = self.crashes.own_version
         self.crashes.record_crash(group, parts, now_s, requests)
+        if self.crashes.own_version == known_version:
+            # A server refuses connections until it is no longer listed.
+            return
         blames = (self.crashes.blames.get(n) for n in (*parts, *requests))
         logs.info(
             _log,
--- a/tests/direct/test_server_ends.py
+++ b/tests/direct/test_server_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from flamingocleat import ids
@@ -163,3 +164,23 @@
         assert len(crash.requests) == 1
 
     support.run_scenario(scenario)
+
+
+def test_end_is_logged_once():
+    """Guards against a line for each connection that a server refuses."""
+
+    async def scenario(harness):
+        async def hang(received):
+            await received.wait_until_closed()
+
+        backend = await harness.add(hang)
+        await harness.request("/short/x", "POST", body=b"x")
+        backend.server.close()
+        with logbook.TestHandler().applicationbound() as handler:
+            for _ in range(3):
+                await harness.request("/once/x", "POST", body=b"y")
+        lines = [each.message for each in handler.records]
+        ends = [each for each in lines if "server_ended" in each]
+        assert len(ends) == 1
+
+    support.run_scenario(scenario)
