--- a/tests/direct/test_blame.py
+++ b/tests/direct/test_blame.py
@@ -93,6 +93,22 @@
         sent = {LETHAL: ended_s - SENT_S}
         record.record_crash(server, (), ended_s, sent)
     assert record.verdict(LETHAL) is Verdict.WITHHELD
+    record.clock.now_s = 1000.0 + blame.REQUEST_HOLD_S - 0.1
+    assert record.verdict(LETHAL) is Verdict.WITHHELD
+
+
+@pytest.mark.parametrize("kind", [blame.PartBlame, blame.RequestBlame])
+@pytest.mark.parametrize("total", [blame.MIN_BLAME, 2.0, 2.9, 3.0, 40.0])
+def test_time_grows_with_each_whole_end_up_to_a_bound(kind, total):
+    """Guards against a time that is too short after shared blame, or endless."""
+    blamed = kind(total=total, last_ended_s=100.0)
+    hold_s = blamed.withheld_until_s - 100.0
+    if total < 3:
+        assert hold_s == blamed.first_hold_s
+    elif total == 3:
+        assert hold_s == blamed.first_hold_s * blamed.hold_factor
+    else:
+        assert hold_s == blamed.max_hold_s
 
 
 def test_each_end_after_a_trial_multiplies_the_time(record):
--- a/tests/direct/test_server_ends.py
+++ b/tests/direct/test_server_ends.py
@@ -61,6 +61,17 @@
     assert unanswered.take(LIFETIME) == {DIGEST: 1000.0}
 
 
+def test_requests_of_former_lifetimes_are_forgotten(unanswered, clock):
+    """Guards against memory that grows with each server that ends."""
+    unanswered.record_sent(LIFETIME, DIGEST)
+    unanswered.record_abandoned(LIFETIME, DIGEST)
+    clock.now_s += server_ends.ABANDONED_S + 0.1
+    other = ids.Lifetime("b-0", 2)
+    unanswered.record_sent(other, DIGEST)
+    unanswered.record_abandoned(other, DIGEST)
+    assert unanswered.sent.keys() == {other}
+
+
 def test_other_lifetimes_do_not_count(unanswered):
     """Guards against blame for the end of a former lifetime."""
     unanswered.record_sent(LIFETIME, DIGEST)
@@ -184,3 +195,26 @@
         assert len(ends) == 1
 
     support.run_scenario(scenario)
+
+
+def test_end_is_not_blamed_on_a_request_that_was_answered():
+    """Guards against blame for whatever a server ran shortly before."""
+
+    async def scenario(harness):
+        async def answer(received):
+            if received.body == b"x":
+                await received.answer(b"fine")
+                return
+            backend.server.close()
+            await break_off_and_end(received)
+
+        backend = await harness.add(answer)
+        await harness.request("/once/x", "POST", body=b"x")
+        await harness.request("/once/x", "POST", body=b"y")
+        guard = harness.forwarder.guard
+        (crash,) = guard.crashes.crashes.values()
+        assert len(crash.requests) == 1
+        assert crash.requests.keys().isdisjoint(guard.answered_s.times_s)
+        assert len(guard.answered_s.times_s) == 1
+
+    support.run_scenario(scenario)
