--- a/tests/direct/test_blame.py
+++ b/tests/direct/test_blame.py
@@ -100,7 +100,7 @@
 @pytest.mark.parametrize("kind", [blame.PartBlame, blame.RequestBlame])
 @pytest.mark.parametrize("total", [blame.MIN_BLAME, 2.0, 2.9, 3.0, 40.0])
 def test_time_grows_with_each_whole_end_up_to_a_bound(kind, total):
-    """Guards against a time that is too short after shared blame, or endless."""
+    """Guards against too short a time after shared blame, or an endless one."""
     blamed = kind(total=total, last_ended_s=100.0)
     hold_s = blamed.withheld_until_s - 100.0
     if total < 3:
