Blame a burst at two servers before a read repeated there

An end counted for a request only if it was sent there after the end that was counted before, and blame went to those counted most. A lethal burst that reached two servers at once was counted once, and a sound read beside it that broke off and was sent again to the second server twice: the read was withheld for 60 s at all gateways, and the lethal request was clear.

--- a/src/flamingocleat/version/blame.py
+++ b/src/flamingocleat/version/blame.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import itertools
 import typing
 
 import msgspec
@@ -129,13 +130,16 @@
 ) -> dict[ids.Suspect, Blame]:
     """Blame the requests that explain most ends.
 
-    A request is counted for an end only if it was sent there after the end that
-    was counted before: servers that end together may have a common cause.
+    An end adds to the blame of a request only if it was sent there after the
+    end that was counted before: servers that end together may have a common
+    cause. It is explained nevertheless. Otherwise the blame for a burst at two
+    servers would be that of a request which was repeated at the second one.
     """
     candidates = {
         key: _candidates(crash.requests, crash.ended_s, answered_s)
         for key, crash in crashes.items()
     }
+    explained = collections.Counter(itertools.chain(*candidates.values()))
     counted: dict[ids.Suspect, set[str]] = collections.defaultdict(set)
     last_s: dict[ids.Suspect, float] = {}
     for key in sorted(crashes, key=lambda key: crashes[key].ended_s):
@@ -146,8 +150,8 @@
                 last_s[digest] = crash.ended_s
     blames: dict[ids.Suspect, Blame] = {}
     for key, crash in crashes.items():
-        most = max((len(counted[d]) for d in candidates[key]), default=0)
-        blamed = [d for d in candidates[key] if len(counted[d]) == most]
+        most = max((explained[d] for d in candidates[key]), default=0)
+        blamed = [d for d in candidates[key] if explained[d] == most]
         for digest in blamed:
             blame = blames.setdefault(digest, RequestBlame())
             if key in counted[digest]:
--- a/tests/direct/test_blame.py
+++ b/tests/direct/test_blame.py
@@ -87,6 +87,21 @@
     assert record.verdict(SOUND) is Verdict.SUSPECT
 
 
+def test_request_sent_again_shares_the_blame_with_a_burst(record):
+    """Guards against a sound read that is withheld in place of a lethal burst.
+
+    The burst reaches two servers before the first one ends. The read is beside
+    it and sent again to the second server, so that only its sends are apart.
+    """
+    record.record_crash("a", (), 1000.0, {LETHAL: 999.95, SOUND: 999.95})
+    record.record_crash("b", (), 1000.05, {LETHAL: 999.95, SOUND: 1000.02})
+    assert record.verdict(SOUND) is Verdict.SUSPECT
+    assert record.verdict(LETHAL) is Verdict.SUSPECT
+    end(record, "c", LETHAL)
+    assert record.verdict(SOUND) is Verdict.CLEAR
+    assert record.verdict(LETHAL) is Verdict.WITHHELD
+
+
 def test_ends_count_in_the_order_of_their_times(record):
     """Guards against evidence on an older end that arrives later."""
     for server, ended_s in (("b", 1000.0), ("a", 999.0)):
