--- a/tests/direct/test_blame.py
+++ b/tests/direct/test_blame.py
@@ -193,3 +193,10 @@
         assert record.verdict(LETHAL) is Verdict.WITHHELD
         assert set(record.crashes["a"].requests) == {LETHAL, "r:1", "r:2"}
         assert record.blames.keys() == {LETHAL}
+
+
+def test_first_time_of_sending_counts(record):
+    """Guards against gateways that disagree on which ends count."""
+    for sent_s, expected_s in ((999.9, 999.9), (999.8, 999.9), (999.0, 999.0)):
+        record.record_crash("a", (), 1000.0, {SOUND: sent_s})
+        assert record.crashes["a"].requests == {SOUND: expected_s}
--- a/tests/direct/test_server_ends.py
+++ b/tests/direct/test_server_ends.py
@@ -3,9 +3,11 @@
 import asyncio
 
 import logbook
+import msgspec
 import pytest
 
 from flamingocleat import ids
+from flamingocleat.connection import http
 from flamingocleat.request import server_ends
 from tests.direct import support
 
@@ -218,3 +220,95 @@
         assert len(guard.answered_s.times_s) == 1
 
     support.run_scenario(scenario)
+
+
+def test_end_is_not_blamed_on_a_request_that_was_refused():
+    """Guards against blame for what a server said that it did not run."""
+
+    async def scenario(harness):
+        async def answer(received):
+            if received.body == b"x":
+                await received.answer(b"", 503, "Flamingocleat-Not-Run: 1")
+                return
+            backend.server.close()
+            await break_off_and_end(received)
+
+        backend = await harness.add(answer)
+        await harness.request("/once/x", "POST", body=b"x")
+        await harness.request("/once/x", "POST", body=b"y")
+        (crash,) = harness.forwarder.guard.crashes.crashes.values()
+        assert len(crash.requests) == 1
+
+    support.run_scenario(scenario)
+
+
+def test_lifetimes_of_one_server_end_apart():
+    """Guards against a server that is back under its id and ends again."""
+
+    async def scenario(harness):
+        backend = await harness.add(break_off_and_end)
+        candidate = harness.candidate(0)
+        ends = harness.forwarder.server_ends
+        for born_ms in (1, 2):
+            lifetime = ids.Lifetime("b-0", born_ms)
+            candidate.view = msgspec.structs.replace(
+                candidate.view, born_ms=born_ms
+            )
+            assert candidate.lifetime == lifetime
+            ends.unanswered.record_sent(lifetime, DIGEST)
+            ends.record_refused_connection(candidate)
+        assert len(harness.forwarder.guard.crashes.crashes) == 2
+        backend.server.close()
+
+    support.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_refused_connection_counts_only_of_a_listed_server(is_listed):
+    """Guards against blame for a server that was stopped as planned."""
+
+    async def scenario(harness):
+        await harness.add(break_off_and_end)
+        candidate = harness.candidate(0)
+        ends = harness.forwarder.server_ends
+        ends.unanswered.record_sent(candidate.lifetime, DIGEST)
+        if not is_listed:
+            harness.candidates.discard(["b-0"])
+        ends.record_refused_connection(candidate)
+        assert bool(harness.forwarder.guard.crashes.crashes) == is_listed
+
+    support.run_scenario(scenario)
+
+
+def test_silent_server_has_not_ended(monkeypatch):
+    """Guards against blame for a link that was cut."""
+
+    async def scenario(harness):
+        backend = await harness.add(break_off_and_end)
+        open_client = http.Client.open
+
+        async def connect(address, timeout_s):
+            if backend.received:
+                raise http.ConnectError(address, TimeoutError())
+            return await open_client(address, timeout_s)
+
+        monkeypatch.setattr(http.Client, "open", connect)
+        await harness.request("/once/x", "POST", body=b"x")
+        assert backend.received
+        assert not harness.forwarder.guard.crashes.crashes
+
+    support.run_scenario(scenario)
+
+
+def test_gateway_tells_of_an_answer_that_came_before_the_evidence():
+    """Guards against blame for a request that this gateway saw answered."""
+
+    async def scenario(harness):
+        guard = harness.forwarder.guard
+        guard.record_write((DIGEST,))
+        sent = {DIGEST: guard.clock() - 1.0}
+        guard.crashes.record_crash("b-0@1", (), guard.clock() - 0.5, sent)
+        assert DIGEST in guard.crashes.written_s
+        assert DIGEST not in guard.crashes.blames
+
+    support.run_scenario(scenario)
