--- a/tests/direct/test_blame.py
+++ b/tests/direct/test_blame.py
@@ -1,6 +1,8 @@
 """Which requests are blamed for ends of servers."""
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from flamingocleat.version import blame
 from flamingocleat.version import crashes
@@ -200,3 +202,64 @@
     for sent_s, expected_s in ((999.9, 999.9), (999.8, 999.9), (999.0, 999.0)):
         record.record_crash("a", (), 1000.0, {SOUND: sent_s})
         assert record.crashes["a"].requests == {SOUND: expected_s}
+
+
+@strategies.composite
+def ends_of_servers(draw) -> dict[str, blame.Crash]:
+    """Draw ends at different times, of requests sent some time before."""
+    digests = strategies.sampled_from([SOUND, "r:1", "r:2", "r:3"])
+    before_s = strategies.floats(0.01, 3.0)
+    ended_s = strategies.floats(10.0, 20.0)
+    return {
+        f"a-{number}": blame.Crash(
+            at_s,
+            set(),
+            {
+                digest: at_s - sent_s
+                for digest, sent_s in draw(
+                    strategies.dictionaries(digests, before_s, max_size=4)
+                ).items()
+            },
+        )
+        for number, at_s in enumerate(
+            draw(strategies.lists(ended_s, max_size=8, unique=True))
+        )
+    }
+
+
+ANSWERS = strategies.dictionaries(
+    strategies.sampled_from([SOUND, "r:1"]), strategies.floats(5.0, 25.0)
+)
+
+
+@hypothesis.given(
+    ends_of_servers(), ANSWERS, strategies.randoms(use_true_random=False)
+)
+def test_blame_is_bounded_and_independent_of_the_order(ends, answers, random):
+    """Guards against one end that is blamed twice, or by whom it came first."""
+    blamed = blame.assess(ends, answers)
+    assert sum(each.total for each in blamed.values()) <= len(ends) + 1e-9
+    for digest, answered_s in answers.items():
+        if all(end.ended_s < answered_s for end in ends.values()):
+            assert digest not in blamed
+    shuffled = dict(random.sample(sorted(ends.items()), len(ends)))
+    again = blame.assess(shuffled, answers)
+    assert again.keys() == blamed.keys()
+    for digest, expected in blamed.items():
+        assert again[digest].total == pytest.approx(expected.total)
+        assert again[digest].last_ended_s == expected.last_ended_s
+
+
+@hypothesis.given(ends_of_servers(), ANSWERS, strategies.floats(0.0, 3.0))
+def test_nothing_beside_a_lethal_request_is_blamed_more(ends, answers, wait_s):
+    """Guards against sound requests that are withheld in its place.
+
+    It may have waited in queues, or come in a burst.
+    """
+    for end in ends.values():
+        end.requests[LETHAL] = end.ended_s - wait_s - 0.01
+    blamed = blame.assess(ends, answers)
+    for digest, each in blamed.items():
+        if digest != LETHAL and each.total >= blame.MIN_BLAME:
+            here = [end for end in ends.values() if digest in end.requests]
+            assert len(here) == len(ends)
