Try a request that was answered before it is withheld

Two engines that ended within 0.35 s under a lethal prompt withheld the request of all sound callers, with the same path and without a body, for 60 s at all gateways: no stream was served any more. A request that has been answered is now tried after two such ends and withheld after three.

--- a/src/flamingocleat/version/blame.py
+++ b/src/flamingocleat/version/blame.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import itertools
+import math
 import typing
 
 import msgspec
@@ -19,6 +20,9 @@
 MIN_BLAME = 1.5
 """Blame from which a suspect is withheld. It takes two ends with no other
 suspect, or more with several."""
+MIN_BLAME_IF_ANSWERED = 2.5
+"""The same for a request that has been answered before. It is tried first: many
+callers may send it, so that it is beside what ends servers by chance."""
 PART_HOLD_S = 60.0
 """How long a part is withheld, from the last end that it is blamed for. Then
 one request may try it again; each further end doubles the time."""
@@ -51,17 +55,24 @@
     max_hold_s: float
     memory_s: float
     """How long its ends are remembered after it may be sent again."""
+    min_total: float = MIN_BLAME
+    """Total from which on it is withheld."""
     total: float = 0.0
     """Sum of its shares; the blame for one end adds up to 1."""
     last_ended_s: float = float("-inf")
     """The last end that it is blamed for."""
 
+    @property
+    def is_enough(self) -> bool:
+        """Whether it is withheld for some time after its last end."""
+        return self.total >= self.min_total
+
     @property
     def withheld_until_s(self) -> float:
         """Until when no request with the suspect may reach a server."""
-        if self.total < MIN_BLAME:
+        if not self.is_enough:
             return float("-inf")
-        further = max(0, int(self.total) - 2)
+        further = max(0, int(self.total) - math.ceil(self.min_total))
         hold_s = self.first_hold_s * self.hold_factor**further
         return self.last_ended_s + min(self.max_hold_s, hold_s)
 
@@ -154,6 +165,8 @@
         blamed = [d for d in candidates[key] if explained[d] == most]
         for digest in blamed:
             blame = blames.setdefault(digest, RequestBlame())
+            if digest in answered_s:
+                blame.min_total = MIN_BLAME_IF_ANSWERED
             if key in counted[digest]:
                 blame.total += 1 / len(blamed)
             blame.last_ended_s = max(blame.last_ended_s, crash.ended_s)
--- a/src/flamingocleat/version/crashes.py
+++ b/src/flamingocleat/version/crashes.py
@@ -228,8 +228,8 @@
         for suspect in self.blames.keys() | before.keys():
             old = before.get(suspect, _NO_BLAME)
             new = self.blames.get(suspect, _NO_BLAME)
-            is_held = new.total >= blame_module.MIN_BLAME
-            if (old.total >= blame_module.MIN_BLAME) != is_held:
+            is_held = new.is_enough
+            if old.is_enough != is_held:
                 logs.warning(
                     _log,
                     "suspect_withheld" if is_held else "suspect_released",
--- a/tests/direct/test_blame.py
+++ b/tests/direct/test_blame.py
@@ -67,6 +67,21 @@
         assert record.verdict(SOUND) is Verdict.CLEAR
 
 
+def test_answered_request_is_tried_before_it_is_withheld(record):
+    """Guards against two unlucky ends that shut out what many callers send."""
+    end(record, "a", SOUND)
+    answer(record, SOUND)
+    end(record, "b", SOUND)
+    end(record, "c", SOUND)
+    assert record.verdict(SOUND) is Verdict.SUSPECT
+    end(record, "d", SOUND)
+    assert record.verdict(SOUND) is Verdict.WITHHELD
+    record.clock.now_s += blame.REQUEST_HOLD_S
+    assert record.verdict(SOUND) is Verdict.SUSPECT
+    answer(record, SOUND)
+    assert record.verdict(SOUND) is Verdict.CLEAR
+
+
 def test_servers_that_end_together_count_once(record):
     """Guards against a new request that is at several ends of one cause."""
     for number in range(5):
