--- a/tests/direct/test_server_ends.py
+++ b/tests/direct/test_server_ends.py
@@ -312,3 +312,28 @@
         assert DIGEST not in guard.crashes.blames
 
     support.run_scenario(scenario)
+
+
+def test_withheld_call_that_may_have_run_is_not_said_not_to_have_run():
+    """Guards against a 503 for a call that ended two servers."""
+
+    async def scenario(harness):
+        async def end(received):
+            number = next(
+                number
+                for number, backend in enumerate(harness.backends)
+                if received in backend.received
+            )
+            harness.backends[number].server.close()
+            await break_off_and_end(received)
+
+        await harness.add(end)
+        await harness.request("/read/x", "POST", body=b"x")
+        for _ in range(2):
+            await harness.add(end)
+        reply = await harness.request("/read/x", "POST", body=b"x")
+        assert b"ends servers" in reply.body
+        assert reply.status == 502
+        assert sum(len(each.received) for each in harness.backends) == 2
+
+    support.run_scenario(scenario)
