--- a/tests/direct/test_server_ends.py
+++ b/tests/direct/test_server_ends.py
@@ -8,6 +8,7 @@
 
 from flamingocleat import ids
 from flamingocleat.connection import http
+from flamingocleat.request import crash_guard
 from flamingocleat.request import server_ends
 from tests.direct import support
 
@@ -337,3 +338,35 @@
         assert sum(len(each.received) for each in harness.backends) == 2
 
     support.run_scenario(scenario)
+
+
+def test_end_of_a_head_is_that_of_its_group():
+    """Guards against one end that counts twice, for its parts and requests."""
+
+    async def scenario(harness):
+        await harness.add(break_off_and_end, "llm")
+        candidate = harness.candidate(0)
+        ends = harness.forwarder.server_ends
+        ends.unanswered.record_sent(candidate.lifetime, DIGEST)
+        ends.record_refused_connection(candidate)
+        assert harness.forwarder.guard.crashes.crashes.keys() == {"g-0"}
+
+    support.run_scenario(scenario)
+
+
+def test_suspect_request_is_tried_at_once_where_nothing_else_is_tried():
+    """Guards against a trial whose end could be that of another one."""
+
+    async def scenario(harness):
+        guard = harness.forwarder.guard
+        now_s = guard.clock()
+        guard.crashes.record_crash("b-0@1", (), now_s, {DIGEST: now_s - 1.0})
+        async with asyncio.timeout(crash_guard.PROOF_WAIT_S / 2):
+            suspects = await guard.admit((DIGEST,), now_s + 3.0)
+        assert suspects == (DIGEST,)
+        with guard.trial_at("b-1", suspects):
+            assert guard.servers_on_trial(("r:2",)) == {"b-1"}
+            assert guard.servers_on_trial(()) == frozenset()
+        assert guard.servers_on_trial(("r:2",)) == frozenset()
+
+    support.run_scenario(scenario)
