Check in the soak that planned work cuts no answer

The soak dropped each broken connection of its callers without a word, so a stream that ended with its gateway was no violation (rule LOST). Each call is now recorded with its gateway, connection, times and end, each run at a server with how it ended, and each signal. A cut beside a SIGTERM, a reload or a change counts unless a fault of the gateway, the link or the server, the deadline or the end of the grace period excuses it, or nobody had read the request and it crossed the close. A request that reached a server needs exactly one closing line in its gateway's log, unless the process was killed.

New faults: gateways stopped in series with further signals, also during their start, under streams of 0.1 s up to their deadline, slow readers, slow links and connections that are left open; engines at paces of their own.

Runs that share a machine reserve their part of the loopback range.

--- /dev/null
+++ b/tests/platform/answer_watch.py
@@ -0,0 +1,263 @@
+"""Answers that break off around planned work, as callers of a soak see them.
+
+A stop, a reload or a change of the configuration cuts no request that was read.
+Each call is compared with the signals that its gateway got, with what backend
+servers did with it, and with the closing lines of the gateway's log.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import enum
+import re
+import signal
+import time
+import typing
+
+import h11
+import msgspec
+
+if typing.TYPE_CHECKING:
+    from tests.platform import emulator
+    from tests.platform import soak as soak_module
+
+GRACE_S = 8.0
+STOP_S = GRACE_S + 1.0
+"""Time after a SIGTERM within which a cut counts."""
+NO_NEW_CALLS_S = 3.0
+"""Time after a SIGTERM until which callers may send further requests."""
+LAST_SIXTH_S = GRACE_S * 5 / 6
+APPLY_S = 2.0
+"""Time for which a reload is in progress."""
+CONTACT_S = 4.0
+"""Time after a fault of a gateway or a link in which a cut does not count."""
+LOSS_SLACK_S = 0.2
+"""Time within which a request that nobody read may cross a close."""
+DEADLINE_S = 4.0
+LATE_FRACTION = 0.7
+"""Part of its time after which a call may be cut beside a change."""
+DEADLINE_SLACK_S = 0.1
+LAG_S = 0.05
+"""Lag of the soak's own event loop that counts as a fault of links."""
+LOG_S = 3.0
+"""Time within which the last closing lines are written."""
+PLANNED = (signal.SIGTERM, signal.SIGHUP)
+CLOSING_LINE = re.compile(
+    r"event=(?:request_ended|request_refused) .*?\brequest=(\S+)"
+)
+
+
+class Outcome(enum.Enum):
+    """How a call ended for its caller."""
+
+    OPEN = "open"
+    ANSWERED = "answered"
+    CUT = "cut"
+    TIMED_OUT = "timed out"
+    CANCELLED = "cancelled"
+
+
+class Call(msgspec.Struct, kw_only=True):
+    """A call, as its caller sees it."""
+
+    gateway: str
+    """Address of the gateway."""
+    connection: str
+    """Address of the caller's end of the connection."""
+    link_s: float
+    """Latency of the link to the gateway."""
+    sent_s: float = msgspec.field(default_factory=time.monotonic)
+    ended_s: float = float("inf")
+    outcome: Outcome = Outcome.OPEN
+    detail: str = ""
+
+    @contextlib.contextmanager
+    def record_end(self) -> collections.abc.Iterator[None]:
+        """Record how the wait for the answer ends."""
+        try:
+            yield
+            self.outcome = Outcome.ANSWERED
+        except TimeoutError:
+            self.outcome = Outcome.TIMED_OUT
+            raise
+        except (OSError, h11.RemoteProtocolError) as error:
+            self.outcome, self.detail = Outcome.CUT, repr(error)
+            raise
+        except asyncio.CancelledError:
+            self.outcome = Outcome.CANCELLED
+            raise
+        finally:
+            self.ended_s = time.monotonic()
+
+    def is_hit(self, faults_s: collections.abc.Iterable[float]) -> bool:
+        """Return whether a fault at these times can have disturbed it."""
+        return any(
+            self.sent_s - CONTACT_S <= at_s <= self.ended_s + LOSS_SLACK_S
+            for at_s in faults_s
+        )
+
+
+class Run(msgspec.Struct):
+    """A call at a backend server."""
+
+    server: "emulator.Server"
+    proxy: "emulator.Proxy | None"
+    began_s: float
+    ended_s: float = float("inf")
+    broke_off: bool = False
+    """Whether the server ended it without a whole answer."""
+
+
+class AnswerWatch:
+    """Finds calls of a soak that planned work cut."""
+
+    def __init__(self, soak: "soak_module.Soak") -> None:
+        self.soak = soak
+        self.lags_s: list[float] = []
+        """When the soak's own event loop was held up."""
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def _violate(self, detail: str) -> None:
+        self.soak.invariants.record_violation(
+            "planned work cuts no answer", detail
+        )
+
+    def summary(self) -> str:
+        """Return the figures of the run."""
+        stops = sum(
+            number is signal.SIGTERM
+            for gateway in self.soak.gateways
+            for _, number in gateway.signals
+        )
+        counts = {"stops": stops, "calls": len(self.soak.calls)}
+        counts |= dict(sorted(self.counts.items()))
+        return " ".join(f"{key}={value}" for key, value in counts.items())
+
+    async def check(self) -> None:
+        """Check all calls; the gateways still run, so that their logs end."""
+        end_s = time.monotonic() + LOG_S
+        while True:
+            lines = {
+                each.node: _count_lines(each) for each in self.soak.gateways
+            }
+            missing = list(self._find_missing(lines))
+            if not missing or time.monotonic() > end_s:
+                break
+            await asyncio.sleep(0.2)
+        for detail in missing:
+            self._violate(detail)
+        for gateway in self.soak.gateways:
+            for request_id, count in lines[gateway.node].items():
+                if request_id in self.soak.calls and count > 1:
+                    self._violate(
+                        f"{request_id}: {count} closing lines of {gateway.node}"
+                    )
+        for request_id, call in self.soak.calls.items():
+            self.counts[call.outcome.name.lower()] += 1
+            if call.outcome is Outcome.CUT:
+                self._check_cut(request_id, call, lines)
+
+    def _gateway_of(self, call: Call) -> "soak_module.Program | None":
+        for each in self.soak.gateways:
+            if each.address(self.soak.front_port) == call.gateway:
+                return each
+        return None
+
+    def _find_missing(
+        self, lines: dict[str, collections.Counter[str]]
+    ) -> collections.abc.Iterator[str]:
+        """Yield requests that reached a server and have no closing line."""
+        for request_id, runs in self.soak.invariants.runs_by_call.items():
+            call = self.soak.calls.get(request_id)
+            gateway = self._gateway_of(call) if call else None
+            if call is None or gateway is None:
+                continue
+            last_s = max(call.ended_s, runs[-1].ended_s) + LOSS_SLACK_S
+            killed = any(
+                number is signal.SIGKILL and call.sent_s <= at_s <= last_s
+                for at_s, number in gateway.signals
+            )
+            known = lines[gateway.node]
+            if not killed and not known[request_id] and not known["dropped"]:
+                yield f"{request_id}: no closing line of {gateway.node}"
+
+    def _check_cut(
+        self,
+        request_id: str,
+        call: Call,
+        lines: dict[str, collections.Counter[str]],
+    ) -> None:
+        gateway = self._gateway_of(call)
+        if gateway is None:
+            return
+        runs = self.soak.invariants.runs_by_call.get(request_id, [])
+        excuse = self._find_excuse(call, gateway, runs)
+        work = self._find_work(call, gateway)
+        if excuse or not work:
+            self.counts[f"cut_{excuse or 'apart'}"] += 1
+            return
+        self._violate(
+            f"{request_id} by {gateway.node} on {call.connection}: {work}; cut "
+            f"{call.ended_s - call.sent_s:.2f} s after it was sent, at "
+            f"{call.ended_s - self.soak.started_s:.2f}; {len(runs)} runs; "
+            f"{lines[gateway.node][request_id]} closing lines; {call.detail}"
+        )
+
+    def _find_excuse(
+        self, call: Call, gateway: "soak_module.Program", runs: list[Run]
+    ) -> str:
+        """Return why a cut is no violation, or an empty string."""
+        took_s = call.ended_s - call.sent_s
+        is_at_work = any(
+            run.ended_s > call.ended_s - LOSS_SLACK_S for run in runs
+        )
+        excuses = {
+            "by_fault": call.is_hit(gateway.disturbed_s),
+            "by_server": any(run.broke_off for run in runs)
+            or any(
+                call.is_hit(run.proxy.harmed_s) for run in runs if run.proxy
+            ),
+            "by_deadline": took_s >= DEADLINE_S - DEADLINE_SLACK_S,
+            "by_grace": is_at_work
+            and any(
+                LAST_SIXTH_S <= call.ended_s - at_s <= STOP_S
+                and call.sent_s <= at_s + NO_NEW_CALLS_S
+                for at_s, number in gateway.signals
+                if number is signal.SIGTERM
+            ),
+            "unread": not runs
+            and (
+                took_s <= LOSS_SLACK_S + 2 * call.link_s
+                or any(
+                    call.sent_s <= lag_s <= call.ended_s + LOSS_SLACK_S
+                    for lag_s in self.lags_s
+                )
+            ),
+        }
+        return next((name for name, holds in excuses.items() if holds), "")
+
+    def _find_work(self, call: Call, gateway: "soak_module.Program") -> str:
+        """Return the planned work beside which a call was cut, or nothing.
+
+        Operators change the configuration all the time.
+        """
+        for at_s, number in reversed(gateway.signals):
+            after_s = call.ended_s - at_s
+            bound_s = STOP_S
+            if number is signal.SIGHUP:
+                bound_s = call.ended_s - call.sent_s + APPLY_S
+            if number in PLANNED and 0 <= after_s <= bound_s:
+                return f"{number.name} {after_s:.2f} s before"
+        if call.ended_s - call.sent_s < LATE_FRACTION * DEADLINE_S:
+            return "changes of the configuration"
+        return ""
+
+
+def _count_lines(gateway: "soak_module.Program") -> collections.Counter[str]:
+    """Return how many closing lines each request has in a gateway's log."""
+    path = gateway.folder / "log"
+    text = path.read_text(errors="replace") if path.exists() else ""
+    counts = collections.Counter(CLOSING_LINE.findall(text))
+    counts["dropped"] = text.count("event=log_lines_dropped")
+    return counts
--- a/tests/platform/control_faults.py
+++ b/tests/platform/control_faults.py
@@ -1,7 +1,6 @@
 """Faults of the soak that concern control and its changes."""
 
 import asyncio
-import contextlib
 import json
 import signal
 import sys
@@ -105,8 +104,7 @@
         soak.random.shuffle(boot["seeds"])
         path.write_text(json.dumps(boot))
         if soak.random.random() < 0.7 and not program.restart_lock.locked():
-            with contextlib.suppress(ProcessLookupError):
-                program.process.send_signal(signal.SIGHUP)
+            program.notify(signal.SIGHUP)
         await asyncio.sleep(soak.random.uniform(0.0, 0.1))
 
 
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -16,6 +16,7 @@
 import typing
 
 from flamingocleat.connection import http
+from tests.platform import answer_watch
 
 HEARTBEAT_INTERVAL_S = 0.4
 STALL_S = 1.2
@@ -31,6 +32,9 @@
 """Value of SO_LINGER with which closing a socket resets its connection."""
 LETHAL_PART = "dead"
 """Part of a prompt that crashes each engine that begins to write on it."""
+WIDE = "wide"
+"""Part of the id of a call whose answer fills the buffers of a connection."""
+WIDE_BYTES = 15_000
 RESTART_S = 1.0
 DATA_CENTRES = ("z0", "z1")
 """The domains d0 and d1 are in these."""
@@ -45,7 +49,8 @@
 
 def event(request_id: str, number: int) -> bytes:
     """Return one event of the answer to a request."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+    filling = "x" * WIDE_BYTES if request_id.endswith(WIDE) else ""
+    return f"id: {number}\ndata: {request_id} {number}{filling}\n\n".encode()
 
 
 def reset_when_closed(transport: asyncio.BaseTransport) -> None:
@@ -94,6 +99,8 @@
         self.lethal_crashes_s: list[float] = []
         self.calls: list[tuple[float, str, str]] = []
         """Time, data centre and id of each call that reached a server."""
+        self.runs_by_call: dict[str, list[answer_watch.Run]] = {}
+        """What servers did with each call, by its id."""
         self.cold_arrivals = 0
         """Requests that reached cold engines."""
 
@@ -381,10 +388,23 @@
         )
         if self.limit_per_s is not None:
             self.limited_calls.append((time.monotonic(), request_id))
-        if self.service == "llm":
-            await self._stream(exchange)
-        else:
-            await self._run_once(exchange)
+        run = answer_watch.Run(self, self.proxy, time.monotonic())
+        self.fleet.invariants.runs_by_call.setdefault(request_id, []).append(
+            run
+        )
+        is_cancelled = False
+        try:
+            if self.service == "llm":
+                await self._stream(exchange)
+            else:
+                await self._run_once(exchange)
+        except asyncio.CancelledError:
+            is_cancelled = True
+            raise
+        finally:
+            run.ended_s = time.monotonic()
+            is_own_end = not is_cancelled or not self.is_alive
+            run.broke_off = is_own_end and not exchange.finished
 
     def _report(self) -> dict:
         """Return its state in the platform's format."""
@@ -662,6 +682,8 @@
         self.delay_s = 0.0
         self.delayed_s = float("-inf")
         """When bytes that were delayed last went on."""
+        self.harmed_s: list[float] = []
+        """When bytes were dropped or connections reset."""
         self.dropped_directions: set[str] = set()
         """Directions, "up" or "down", in which bytes are lost."""
         self.writers: set[asyncio.StreamWriter] = set()
@@ -676,6 +698,7 @@
 
     def reset(self) -> None:
         """Reset all open connections."""
+        self.harmed_s.append(time.monotonic())
         for writer in list(self.writers):
             reset_when_closed(writer.transport)
             writer.transport.abort()
@@ -687,6 +710,11 @@
         self.delay_s = 0.0
         self.dropped_directions = set()
 
+    def bound(self) -> str:
+        """Return the address at which it listens."""
+        ip, port = self.server.sockets[0].getsockname()
+        return f"{ip}:{port}"
+
     async def close(self) -> None:
         self.server.close()
         self.reset()
@@ -721,6 +749,8 @@
             if direction not in self.dropped_directions:
                 writer.write(data)
                 await writer.drain()
+            else:
+                self.harmed_s.append(time.monotonic())
         with contextlib.suppress(OSError):
             if writer.can_write_eof():
                 writer.write_eof()
--- a/tests/platform/limit_faults.py
+++ b/tests/platform/limit_faults.py
@@ -57,12 +57,12 @@
     }
     told_s: dict[str, float] = {}
     for at_s, request_id in server.limited_answers:
-        told_s.setdefault(soak.gateway_by_call.get(request_id, ""), at_s)
+        told_s.setdefault(soak.gateway_of(request_id), at_s)
     first_s = min(told_s.values(), default=float("inf"))
     calls_s = [
         at_s
         for at_s, request_id in server.limited_calls
-        if (address := soak.gateway_by_call.get(request_id)) in addresses
+        if (address := soak.gateway_of(request_id)) in addresses
         and at_s > told_s.get(address, float("inf")) + TOLD_S
         and at_s > first_s + CONTACT_S
     ]
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -24,11 +24,13 @@
 
 from flamingocleat.connection import http
 from tests import crowds
+from tests.platform import answer_watch
 from tests.platform import config_watch
 from tests.platform import control_faults  # noqa: F401 (registers faults)
 from tests.platform import emulator
 from tests.platform import faults as faults_module
 from tests.platform import limit_faults  # noqa: F401 (registers faults)
+from tests.platform import stop_faults  # noqa: F401 (registers faults)
 
 START_SCRIPT = pathlib.Path(__file__).with_name("start_linked.py")
 COORDINATORS = 3
@@ -64,6 +66,8 @@
 """Time without a fault after which a gateway counts as in contact."""
 OPERATOR_S = 5.0
 """Time within which an operator's call is answered by calm coordinators."""
+SMALL_BUFFER_BYTES = 8192
+"""Receive buffer of a caller that reads slowly."""
 SPARE_ADDRESSES = 2
 """Addresses at which engines may return."""
 MEMORY_MB = 120.0
@@ -89,17 +93,27 @@
 fault = faults_module.fault
 
 
-def _find_free_net() -> int:
-    """Return the second octet of a loopback range that no other run uses."""
+def reserve_net() -> tuple[int, socket.socket]:
+    """Return the second octet of a loopback range that no other run uses.
+
+    The range is in use until the socket is closed.
+    """
     for offset in range(200):
         net = 16 + (os.getpid() + offset) % 200
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((f"127.{net}.3.1", PROXY_PORT))
-            except OSError:
-                continue
-            return net
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{net}.0.1", PROXY_PORT))
+            for address in (
+                (f"127.{net}.3.1", PROXY_PORT),
+                (f"127.{net}.4.1", LINK_PORT),
+            ):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(address)
+        except OSError:
+            lock.close()
+            continue
+        return net, lock
     raise OSError("no part of the loopback range is free")
 
 
@@ -125,6 +139,10 @@
         """A file that holds the time that a sync takes, if it exists."""
         self.last_fault_s = float("-inf")
         """When a fault was last injected."""
+        self.disturbed_s: list[float] = []
+        """Times of all faults except for planned stops and reloads."""
+        self.signals: list[tuple[float, signal.Signals]] = []
+        """Signals that it got, with their times."""
         self.is_paused = False
         self.restart_lock = asyncio.Lock()
         """Held from the end of a process until its replacement is started."""
@@ -202,9 +220,16 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         self.last_fault_s = time.monotonic()
+        if number not in answer_watch.PLANNED:
+            self.disturbed_s.append(self.last_fault_s)
+        self.notify(number)
+
+    def notify(self, number: signal.Signals) -> None:
+        """Send a signal that is no fault to the process if it runs."""
         with contextlib.suppress(ProcessLookupError):
             assert self.process is not None
             self.process.send_signal(number)
+            self.signals.append((time.monotonic(), number))
 
     async def end(self, number: signal.Signals) -> None:
         """Send a signal to the process and wait until it exits."""
@@ -218,10 +243,18 @@
     """A caller with a connection that is reused until it ends."""
 
     def __init__(
-        self, calls: dict[str, str] | None = None, model: str = "m"
+        self,
+        calls: dict[str, answer_watch.Call] | None = None,
+        model: str = "m",
     ) -> None:
         self.calls = {} if calls is None else calls
-        """Receives the gateway of each call, by the call's id."""
+        """Receives each call, by its id."""
+        self.kept: list[asyncio.StreamWriter] | None = None
+        """Receives connections that are left open, if it is a list."""
+        self.read_pause_s = 0.0
+        """Time between two reads of an answer."""
+        self.link_s = 0.0
+        """Latency of the link to the gateway."""
         self.model = model
         self.connection: h11.Connection | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -240,10 +273,17 @@
         except (OSError, TimeoutError):
             return
         self.connection = h11.Connection(h11.CLIENT)
+        if self.read_pause_s:
+            self.writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+            )
 
     def close(self) -> None:
         if self.writer is not None:
-            self.writer.close()
+            if self.kept is None:
+                self.writer.close()
+            else:
+                self.kept.append(self.writer)
         self.connection = None
 
     async def request(
@@ -259,7 +299,6 @@
         """
         if self.connection is None or self.writer is None:
             raise ConnectionError("not connected")
-        self.calls[request_id] = self.gateway
         head = h11.Request(
             method="POST",
             target=path,
@@ -276,8 +315,14 @@
         )
         self.writer.write(self.connection.send(head) or b"")
         self.writer.write(self.connection.send(h11.EndOfMessage()) or b"")
-        async with asyncio.timeout(DEADLINE_MS / 1000 + 2):
-            return await self._answer(self.connection)
+        call = self.calls[request_id] = answer_watch.Call(
+            gateway=self.gateway,
+            connection=str(self.writer.get_extra_info("sockname")),
+            link_s=self.link_s,
+        )
+        with call.record_end():
+            async with asyncio.timeout(DEADLINE_MS / 1000 + 2):
+                return await self._answer(self.connection)
 
     async def _answer(
         self, connection: h11.Connection
@@ -286,6 +331,8 @@
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
+                if self.read_pause_s:
+                    await asyncio.sleep(self.read_pause_s)
                 connection.receive_data(await self.reader.read(65_536))
             elif isinstance(event, h11.Response):
                 headers = [(bytes(n), bytes(v)) for n, v in event.headers]
@@ -319,7 +366,7 @@
         self.seed = seed
         self.faults = faults
         self.random = random.Random(seed)
-        self.net = _find_free_net()
+        self.net, self.net_lock = reserve_net()
         self.folder = folder
         self.invariants = emulator.InvariantLog()
         self.coordinators = [
@@ -345,8 +392,9 @@
         self.idle_routes = 0
         """Routes of the configuration that nobody calls."""
         self.is_evacuating = False
-        self.gateway_by_call: dict[str, str] = {}
-        """Address of the gateway to which each call was made, by its id."""
+        self.calls: dict[str, answer_watch.Call] = {}
+        """Calls to gateways, by their ids."""
+        self.answer_watch = answer_watch.AnswerWatch(self)
         self.config_watch = config_watch.ConfigWatch(self)
         self.limits_checked = 0
         """Named limits whose arrivals were checked."""
@@ -382,8 +430,13 @@
             self.coordinators[source].links[link.target] = link.listen
 
     def new_caller(self) -> Caller:
-        """Return a caller whose gateway is recorded with each call."""
-        return Caller(self.gateway_by_call)
+        """Return a caller whose calls are recorded."""
+        return Caller(self.calls)
+
+    def gateway_of(self, request_id: str) -> str:
+        """Return the address of the gateway that got a call."""
+        call = self.calls.get(request_id)
+        return call.gateway if call else ""
 
     @property
     def servers(self) -> list[emulator.Server]:
@@ -422,6 +475,7 @@
             self._record_failures(
                 await asyncio.gather(*tasks, return_exceptions=True)
             )
+            await self.answer_watch.check()
             await self._stop()
 
     def _record_failures(
@@ -498,7 +552,7 @@
         for at_s, place, request_id in self.invariants.calls:
             if place != data_centre or not from_s < at_s < until_s:
                 continue
-            gateway = by_address.get(self.gateway_by_call.get(request_id, ""))
+            gateway = by_address.get(self.gateway_of(request_id))
             if (
                 gateway is not None
                 and not gateway.is_paused
@@ -531,6 +585,8 @@
         while not self.stopping:
             due_s = time.monotonic() + LINK_CHECK_S
             await asyncio.sleep(LINK_CHECK_S)
+            if time.monotonic() - due_s > answer_watch.LAG_S:
+                self.answer_watch.lags_s.append(time.monotonic())
             if time.monotonic() - due_s > SLOW_LINK_S:
                 for coordinator in self.coordinators:
                     coordinator.last_fault_s = time.monotonic()
@@ -589,6 +645,7 @@
         for link in self.voter_links.values():
             await link.close()
         await asyncio.sleep(2 * emulator.ACCEPT_S)
+        self.net_lock.close()
 
     # The operator.
 
@@ -683,7 +740,7 @@
 
     async def _call(self, number: int) -> None:
         """Make calls one after the other until the run stops."""
-        caller = Caller(self.gateway_by_call)
+        caller = Caller(self.calls)
         count = 0
         while not self.stopping:
             count += 1
@@ -695,7 +752,7 @@
                 if number < 4:
                     await self.stream(caller, request_id)
                 else:
-                    await self._call_once(caller, request_id)
+                    await self.call_once(caller, request_id)
             except (OSError, h11.RemoteProtocolError, TimeoutError):
                 caller.close()
                 await asyncio.sleep(0.1)
@@ -720,7 +777,8 @@
             )
         self.served += 1
 
-    async def _call_once(self, caller: "Caller", request_id: str) -> None:
+    async def call_once(self, caller: "Caller", request_id: str) -> None:
+        """Make one call that may run at most once."""
         answer, body = await caller.request("/u/x", request_id)
         if answer.status == 200:
             if body != f"filed {request_id}".encode():
@@ -795,7 +853,7 @@
     gateways = [soak.random.choice(soak.gateways) for _ in range(BURST_CALLERS)]
 
     async def call(number: int) -> None:
-        caller = Caller(soak.gateway_by_call, "n")
+        caller = Caller(soak.calls, "n")
         count = 0
         while time.monotonic() < end_s and not soak.stopping:
             count += 1
@@ -986,7 +1044,7 @@
 @fault
 async def send_lethal_prompts(soak: Soak) -> None:
     """Send requests with a part that crashes engines, to any gateway."""
-    caller = Caller(soak.gateway_by_call)
+    caller = Caller(soak.calls)
     for count in range(8):
         gateway = soak.random.choice(soak.gateways)
         await caller.open(gateway.address(FRONT_PORT))
@@ -1023,7 +1081,7 @@
     end_s = time.monotonic() + CROWD_S
 
     async def call(number: int) -> None:
-        caller = Caller(soak.gateway_by_call)
+        caller = Caller(soak.calls)
         gateway = soak.gateways[number % len(soak.gateways)]
         count = 0
         while time.monotonic() < end_s:
@@ -1175,10 +1233,12 @@
     target = crowds.Target(program.ip, port, "/none", CROWD_BODY_BYTES)
     caller = crowds.CALLERS[soak.random.choice(sorted(crowds.CALLERS))]
     program.last_fault_s = time.monotonic()
+    program.disturbed_s.append(program.last_fault_s)
     await crowds.play(
         target, caller, HOSTILE_CROWD, soak.random.uniform(1.0, 3.0)
     )
     program.last_fault_s = time.monotonic()
+    program.disturbed_s.append(program.last_fault_s)
 
 
 async def run_seed(
@@ -1234,6 +1294,7 @@
                 f"version={soak.acknowledged} faults={len(soak.injected)} "
                 f"cold={soak.invariants.cold_arrivals} "
                 f"probes={soak.config_watch.probes} "
+                f"{soak.answer_watch.summary()} "
                 f"broken={len(soak.invariants.violations)}",
                 flush=True,
             )
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -41,7 +41,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
-        self.net = soak._find_free_net()
+        self.net, self.net_lock = soak.reserve_net()
         self.coordinator = soak.Program(self, "coordinator", 1)  # type: ignore[arg-type]
         self.gateway = soak.Program(self, "gateway", 1)  # type: ignore[arg-type]
         self.coordinator.limits = COORDINATOR_LIMITS
@@ -119,6 +119,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     program.process.kill()
                 await program.process.wait()
+        self.net_lock.close()
 
 
 SIZES = {
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,12 +1,14 @@
 """Short soak runs with fixed seeds; seeds that once failed are kept."""
 
 import asyncio
+import signal
 
 import pytest
 
 from tests.platform import control_faults
 from tests.platform import limit_faults
 from tests.platform import soak
+from tests.platform import stop_faults
 
 SEEDS = {
     4: "an engine without a cost for a sequence ended the review of groups",
@@ -30,6 +32,7 @@
     "send_crowd",
     *control_faults.NEW_FAULTS,
     *limit_faults.NEW_FAULTS,
+    *stop_faults.NEW_FAULTS,
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
@@ -48,6 +51,11 @@
     38100: "a change whose bytes are no text was acknowledged and obeyed",
     600: "never failed",
 }
+STOP_FAULTS = {"stop_in_series", "vary_paces", "change_settings"}
+SEEDS_OF_STOP_FAULTS = {
+    9101: "streams of silent servers were cut that could not be retried, and "
+    "callers in the queue of a starting gateway reset",
+}
 DURATION_S = 8.0
 
 
@@ -109,3 +117,18 @@
     result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
     check(result)
     assert result.limits_checked > 0
+
+
+@pytest.mark.parametrize("seed", sorted(SEEDS_OF_STOP_FAULTS))
+def test_planned_work_cuts_no_answer(tmp_path, seed):
+    """Gateways are stopped in series and reloaded, under calls of all kinds."""
+    faults = {name: soak.FAULTS[name] for name in STOP_FAULTS}
+    result = asyncio.run(
+        soak.run_seed(seed, DURATION_S, tmp_path, faults, gateways=3)
+    )
+    check(result)
+    assert any(
+        number is signal.SIGTERM
+        for gateway in result.gateways
+        for _, number in gateway.signals
+    )
