--- a/tests/platform/config_watch.py
+++ b/tests/platform/config_watch.py
@@ -33,6 +33,8 @@
 READ_TIMEOUT_S = 5.0
 """Longer than the longest pause of a process."""
 REFUSED = range(400, 500)
+UNJUDGED = (b"no configuration", b"this gateway stops")
+"""Refusals that look at no configuration."""
 MAX_READ_BYTES_PER_S = 4e6
 """Bound on what is read back, so that the soak itself stays responsive."""
 MIN_ADDED_CALLS = 20
@@ -429,7 +431,7 @@
     ) -> int | None:
         request_id = f"{self.soak.seed}-probe-{self.random.random()}"
         answer, body = await caller.request(path, request_id, extra=headers)
-        if answer.status == 503 and b"no configuration" in body:
+        if answer.status == 503 and any(each in body for each in UNJUDGED):
             return None
         return answer.status
 
