--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak runs with fixed seeds; seeds that once failed are kept."""
 
 import asyncio
+import signal
 
 import pytest
 
@@ -8,6 +9,7 @@
 from tests.platform import lethal_faults
 from tests.platform import limit_faults
 from tests.platform import soak
+from tests.platform import stop_faults
 
 SEEDS = {
     4: "an engine without a cost for a sequence ended the review of groups",
@@ -32,6 +34,7 @@
     *control_faults.NEW_FAULTS,
     *limit_faults.NEW_FAULTS,
     *lethal_faults.NEW_FAULTS,
+    *stop_faults.NEW_FAULTS,
 }
 """Faults that did not exist yet as these seeds were found. A seed draws other
 faults if there are more to draw from."""
@@ -54,6 +57,11 @@
     38100: "a change whose bytes are no text was acknowledged and obeyed",
     600: "never failed",
 }
+STOP_FAULTS = {"stop_in_series", "vary_paces", "change_settings"}
+SEEDS_OF_STOP_FAULTS = {
+    9101: "streams of silent servers were cut that could not be retried, and "
+    "callers in the queue of a starting gateway reset",
+}
 DURATION_S = 8.0
 
 
@@ -81,12 +89,7 @@
 @pytest.mark.parametrize("seed", sorted(SEEDS_OF_ALL_FAULTS))
 def test_soak_with_all_faults_violates_no_guarantee(tmp_path, seed):
     """The same, and backend servers leave, name waits or crash on prompts."""
-    faults = {
-        name: action
-        for name, action in soak.FAULTS.items()
-        if name not in lethal_faults.NEW_FAULTS
-    }
-    check(asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults)))
+    check(asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path)))
 
 
 @pytest.mark.parametrize("seed", sorted(SEEDS_OF_COLD_FAULTS))
@@ -129,3 +132,18 @@
     result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
     check(result)
     assert result.fleet.lethal_requests
+
+
+@pytest.mark.parametrize("seed", sorted(SEEDS_OF_STOP_FAULTS))
+def test_planned_work_cuts_no_answer(tmp_path, seed):
+    """Gateways are stopped in series and reloaded, under calls of all kinds."""
+    faults = {name: soak.FAULTS[name] for name in STOP_FAULTS}
+    result = asyncio.run(
+        soak.run_seed(seed, DURATION_S, tmp_path, faults, gateways=3)
+    )
+    check(result)
+    assert any(
+        number is signal.SIGTERM
+        for gateway in result.gateways
+        for _, number in gateway.signals
+    )
