Release a broken answer before its server is examined

Cause: since a server that breaks an answer off is asked whether it has ended, also a plain one, the error and all that its frames had read of the answer lived until it had replied.

The connection is closed and the error released first.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -815,14 +815,18 @@
                 it may close this client.
         """
         body = bytearray()
-        while data := await self.read():
-            body += data
-            count(len(data))
-            if self.closed:
-                raise BrokenAnswerError("closed on this side")
-            if len(body) > limit:
-                raise BrokenAnswerError("the answer is too large")
-        return bytes(body)
+        try:
+            while data := await self.read():
+                body += data
+                count(len(data))
+                if self.closed:
+                    raise BrokenAnswerError("closed on this side")
+                if len(body) > limit:
+                    raise BrokenAnswerError("the answer is too large")
+            return bytes(body)
+        finally:
+            # An error refers to this frame as long as it is handled.
+            body.clear()
 
     def close(self) -> None:
         """Abort the connection, which also stops the server's work.
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -320,40 +320,12 @@
         attempt = attempts.Attempt(candidate, call, self.budget)
         candidate.attempts.add(attempt)
         try:
-            client = await self._connect(attempt)
-            if call.remaining_s() < attempts.MIN_REMAINING_S:
-                raise attempts.AttemptError(
-                    attempts.Failure.NOT_SENT, "no time is left"
-                )
-            if not self.admission.cold.may_send(candidate):
-                raise attempts.AttemptError(
-                    attempts.Failure.NOT_SENT, "a grant has expired"
-                )
-            call.sent += 1
-            call.sent_to.add(call.backend)
-            self.server_ends.record_sent(call, candidate)
-            headers = self._headers(
-                call, candidate, stream.received.last_event_id
-            )
-            client.send(
-                call.exchange.method,
-                call.exchange.target,
-                headers,
-                call.exchange.body,
-            )
-            if call.route.kind is catalog.CallKind.STREAM:
-                await stream.relay(attempt, client)
-            else:
-                await self._answer(call, attempt, client)
+            await self._send(call, attempt, stream)
+            return
         except http.BrokenAnswerError as error:
+            # The error refers to all that was read of the answer, and is
+            # released before anything else is awaited.
             reason = attempt.interrupted or str(error)
-            if not attempt.interrupted:
-                candidate.mark_failed(time.monotonic())
-                if not attempt.writing:
-                    await self.server_ends.examine(call, candidate)
-            failed = attempts.AttemptError(attempts.Failure.UNKNOWN, reason)
-            failed.has_budget = attempt.has_budget
-            raise failed from error
         finally:
             self.server_ends.record_abandoned(call, candidate)
             candidate.attempts.discard(attempt)
@@ -361,6 +333,47 @@
                 attempt.meter.has_ended = True
             if attempt.client is not None:
                 attempt.client.close()
+                attempt.client = None
+        if not attempt.interrupted:
+            candidate.mark_failed(time.monotonic())
+            if not attempt.writing:
+                await self.server_ends.examine(call, candidate)
+        failed = attempts.AttemptError(attempts.Failure.UNKNOWN, reason)
+        failed.has_budget = attempt.has_budget
+        raise failed
+
+    async def _send(
+        self,
+        call: direct_call.Call,
+        attempt: attempts.Attempt,
+        stream: direct_stream.Stream,
+    ) -> None:
+        """Send a call to a server, and its answer to the caller."""
+        client = await self._connect(attempt)
+        if call.remaining_s() < attempts.MIN_REMAINING_S:
+            raise attempts.AttemptError(
+                attempts.Failure.NOT_SENT, "no time is left"
+            )
+        if not self.admission.cold.may_send(attempt.candidate):
+            raise attempts.AttemptError(
+                attempts.Failure.NOT_SENT, "a grant has expired"
+            )
+        call.sent += 1
+        call.sent_to.add(call.backend)
+        self.server_ends.record_sent(call, attempt.candidate)
+        headers = self._headers(
+            call, attempt.candidate, stream.received.last_event_id
+        )
+        client.send(
+            call.exchange.method,
+            call.exchange.target,
+            headers,
+            call.exchange.body,
+        )
+        if call.route.kind is catalog.CallKind.STREAM:
+            await stream.relay(attempt, client)
+        else:
+            await self._answer(call, attempt, client)
 
     async def _connect(self, attempt: attempts.Attempt) -> http.Client:
         candidate = attempt.candidate
