--- a/tests/platform/answer_watch.py
+++ b/tests/platform/answer_watch.py
@@ -1,8 +1,10 @@
-"""Answers that break off around planned work, as callers of a soak see them.
+"""Answers that break off, as callers of a soak see them.
 
 A stop, a reload or a change of the configuration cuts no request that was read.
-Each call is compared with the signals that its gateway got, with what backend
-servers did with it, and with the closing lines of the gateway's log.
+At any time, a gateway in contact ends few connections whose request it has
+passed on to a sound server. Each call is compared with the signals that its
+gateway got, with what backend servers did with it, and with the closing lines
+of the gateway's log.
 """
 
 import asyncio
@@ -42,7 +44,11 @@
 """Lag of the soak's own event loop that counts as a fault of links."""
 LOG_S = 3.0
 """Time within which the last closing lines are written."""
+MAX_LOST = 3
+"""Calls of a run that may end without an answer after they were passed on to a
+sound server, with no planned work beside."""
 PLANNED = (signal.SIGTERM, signal.SIGHUP)
+ENDS = (signal.SIGTERM, signal.SIGKILL)
 CLOSING_LINE = re.compile(
     r"event=(?:request_ended|request_refused) .*?\brequest=(\S+)"
 )
@@ -107,6 +113,13 @@
     ended_s: float = float("inf")
     broke_off: bool = False
     """Whether the server ended it without a whole answer."""
+    is_stalled: bool = False
+    """Whether a member of its group was missing meanwhile."""
+
+    def is_sound(self, call: Call) -> bool:
+        """Return whether nothing disturbed the server or the link to it."""
+        is_harmed = self.proxy is not None and call.is_hit(self.proxy.harmed_s)
+        return not self.broke_off and not self.is_stalled and not is_harmed
 
 
 class AnswerWatch:
@@ -117,6 +130,9 @@
         self.lags_s: list[float] = []
         """When the soak's own event loop was held up."""
         self.counts: collections.Counter[str] = collections.Counter()
+        self.lost: list[str] = []
+        """Calls that ended without an answer although a sound server had got
+        them and no planned work or fault of the gateway stood beside."""
 
     def _violate(self, detail: str) -> None:
         self.soak.invariants.record_violation(
@@ -157,6 +173,12 @@
             self.counts[call.outcome.name.lower()] += 1
             if call.outcome is Outcome.CUT:
                 self._check_cut(request_id, call, lines)
+                self._check_lost(request_id, call)
+        self.counts["lost"] = len(self.lost)
+        if len(self.lost) > MAX_LOST:
+            self.soak.invariants.record_violation(
+                "calls at sound servers are answered", "; ".join(self.lost)
+            )
 
     def _gateway_of(self, call: Call) -> "soak_module.Program | None":
         for each in self.soak.gateways:
@@ -204,6 +226,34 @@
             f"{lines[gateway.node][request_id]} closing lines; {call.detail}"
         )
 
+    def _check_lost(self, request_id: str, call: Call) -> None:
+        """Find a call that was passed on to a sound server and ended at once.
+
+        A call that another server broke off counts as well if a sound one had
+        got it before.
+        """
+        gateway = self._gateway_of(call)
+        runs = self.soak.invariants.runs_by_call.get(request_id, [])
+        sound = [run for run in runs if run.is_sound(call)]
+        if gateway is None or not sound:
+            return
+        coordinators = self.soak.coordinators
+        disturbed = [
+            *gateway.disturbed_s,
+            *(at_s for at_s, number in gateway.signals if number in ENDS),
+            *(at_s for each in coordinators for at_s, _ in each.signals),
+        ]
+        took_s = call.ended_s - call.sent_s
+        if call.is_hit(disturbed) or took_s >= DEADLINE_S - DEADLINE_SLACK_S:
+            return
+        self.lost.append(
+            f"{request_id} by {gateway.node} on {call.connection}: cut "
+            f"{took_s:.2f} s after it was sent, at "
+            f"{call.ended_s - self.soak.started_s:.2f}; runs at "
+            f"{', '.join(run.server.name for run in sound)} of {len(runs)}; "
+            f"{call.detail}"
+        )
+
     def _find_excuse(
         self, call: Call, gateway: "soak_module.Program", runs: list[Run]
     ) -> str:
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -429,6 +429,7 @@
             run.ended_s = time.monotonic()
             is_own_end = not is_cancelled or not self.is_alive
             run.broke_off = is_own_end and not exchange.finished
+            run.is_stalled = self.service == "llm" and not self.is_complete()
             bodies[body] -= 1
 
     def _report(self) -> dict:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -31,9 +31,12 @@
 from tests.platform import faults as faults_module
 from tests.platform import lethal_faults
 from tests.platform import limit_faults  # noqa: F401 (registers faults)
+from tests.platform import power_faults  # noqa: F401 (registers faults)
 from tests.platform import stop_faults  # noqa: F401 (registers faults)
 
 START_SCRIPT = pathlib.Path(__file__).with_name("start_linked.py")
+PROGRAMS = pathlib.Path(__file__).resolve().parents[2]
+"""Checkout whose programs are run if no other is named."""
 COORDINATORS = 3
 GATEWAYS = 2
 OPERATORS = 2
@@ -65,6 +68,8 @@
 """Added to that while coordinators are disturbed."""
 CONTACT_S = 4.0
 """Time without a fault after which a gateway counts as in contact."""
+REFILL_S = 6.0
+"""Time without a fault after which a coordinator has a complete disk."""
 OPERATOR_S = 5.0
 """Time within which an operator's call is answered by calm coordinators."""
 SMALL_BUFFER_BYTES = 8192
@@ -138,6 +143,8 @@
         """Number of lifetimes."""
         self.disk_delay = self.folder / "disk-delay"
         """A file that holds the time that a sync takes, if it exists."""
+        self.synced = self.folder / "synced"
+        """A file with a line for each sync: inode and size."""
         self.last_fault_s = float("-inf")
         """When a fault was last injected."""
         self.disturbed_s: list[float] = []
@@ -195,6 +202,8 @@
                     "FLAMINGOCLEAT_BOOT": str(path),
                     "SOAK_LINKS": json.dumps(self.links),
                     "SOAK_DISK_DELAY": str(self.disk_delay),
+                    "SOAK_SYNCED": str(self.synced),
+                    "SOAK_PROGRAMS": str(self.soak.programs),
                 },
             )
         self.bootstrap = False
@@ -374,8 +383,11 @@
         faults: dict[str, Action],
         coordinators: int = COORDINATORS,
         gateways: int = GATEWAYS,
+        programs: pathlib.Path = PROGRAMS,
     ) -> None:
         self.seed = seed
+        self.programs = programs
+        """Checkout whose programs are run."""
         self.faults = faults
         self.random = random.Random(seed)
         self.net, self.net_lock = reserve_net()
@@ -580,6 +592,13 @@
             if each.address(FRONT_PORT) == address
         )
 
+    def may_lose_disk(self) -> bool:
+        """Return whether each coordinator has had time to fill its disk."""
+        now_s = time.monotonic()
+        return all(
+            now_s - each.last_fault_s >= REFILL_S for each in self.coordinators
+        )
+
     def is_control_in_contact(self, at_s: float) -> bool:
         """Return whether all coordinators were in contact then."""
         return all(each.is_in_contact(at_s) for each in self.coordinators)
@@ -868,30 +887,45 @@
 BURST_CALLERS = 24
 """Three times the slots of a group of the second model, which has one or two
 groups at first."""
+FILLING_CALLERS = 48
+"""One and a half times the slots of the groups of the first model."""
 
 
 @fault
 async def burst(soak: Soak) -> None:
     """Let urgent calls of the second model come in a burst."""
+    await _press(soak, "n", "/b/x", BURST_CALLERS, "burst")
+
+
+@fault
+async def fill_groups(soak: Soak) -> None:
+    """Let more streams of the first model come than its groups have slots."""
+    await _press(soak, "m", "/s/x", FILLING_CALLERS, "fill")
+
+
+async def _press(
+    soak: Soak, model: str, path: str, callers: int, name: str
+) -> None:
+    """Let callers make calls of a model one after the other for a while."""
     end_s = time.monotonic() + soak.random.uniform(2.0, 5.0)
-    gateways = [soak.random.choice(soak.gateways) for _ in range(BURST_CALLERS)]
+    gateways = [soak.random.choice(soak.gateways) for _ in range(callers)]
 
     async def call(number: int) -> None:
-        caller = Caller(soak.calls, "n")
+        caller = Caller(soak.calls, model)
         count = 0
         while time.monotonic() < end_s and not soak.stopping:
             count += 1
-            request_id = f"{soak.seed}-burst{number}-{end_s}-{count}"
+            request_id = f"{soak.seed}-{name}{number}-{end_s}-{count}"
             if caller.connection is None:
                 await caller.open(gateways[number].address(FRONT_PORT))
             try:
-                await soak.stream(caller, request_id, "/b/x")
+                await soak.stream(caller, request_id, path)
             except (OSError, h11.RemoteProtocolError, TimeoutError):
                 caller.close()
                 await asyncio.sleep(0.1)
         caller.close()
 
-    await asyncio.gather(*map(call, range(BURST_CALLERS)))
+    await asyncio.gather(*map(call, range(callers)))
 
 
 @fault
@@ -947,8 +981,7 @@
     Does nothing if a fault hit any coordinator shortly before.
     """
     coordinator = soak.random.choice(soak.coordinators)
-    now_s = time.monotonic()
-    if any(now_s - each.last_fault_s < 6.0 for each in soak.coordinators):
+    if not soak.may_lose_disk():
         return
     async with coordinator.restart_lock:
         await coordinator.end(signal.SIGKILL)
@@ -1272,13 +1305,14 @@
     faults: dict[str, Action] = FAULTS,
     coordinators: int = COORDINATORS,
     gateways: int = GATEWAYS,
+    programs: pathlib.Path = PROGRAMS,
 ) -> Soak:
     """Run one seed; SIGTERM ends everything that it started."""
     task = asyncio.current_task()
     assert task is not None
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
-    soak = Soak(seed, folder, faults, coordinators, gateways)
+    soak = Soak(seed, folder, faults, coordinators, gateways, programs)
     try:
         await soak.run(duration_s)
     finally:
@@ -1296,6 +1330,12 @@
     parser.add_argument("--gateways", type=int, default=GATEWAYS)
     parser.add_argument("--only", help="names of faults, separated by commas")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
+    parser.add_argument(
+        "--programs",
+        type=pathlib.Path,
+        default=PROGRAMS,
+        help="checkout whose programs are run, such as an earlier landing",
+    )
     options = parser.parse_args()
     names = options.only.split(",") if options.only else sorted(FAULTS)
     faults = {name: FAULTS[name] for name in names}
@@ -1311,6 +1351,7 @@
                     faults,
                     options.coordinators,
                     options.gateways,
+                    options.programs.resolve(),
                 )
             )
             print(
@@ -1323,12 +1364,15 @@
                 f"broken={len(soak.invariants.violations)}",
                 flush=True,
             )
+            if soak.answer_watch.lost:
+                print("\n".join(soak.answer_watch.lost))
             if soak.invariants.violations:
                 failed += 1
                 print("\n".join([*soak.injected, *soak.invariants.violations]))
-                if options.keep:
-                    logs_copy = pathlib.Path(options.keep) / f"seed-{seed}"
-                    shutil.copytree(path, logs_copy, dirs_exist_ok=True)
+            is_finding = soak.invariants.violations or soak.answer_watch.lost
+            if options.keep and is_finding:
+                logs_copy = pathlib.Path(options.keep) / f"seed-{seed}"
+                shutil.copytree(path, logs_copy, dirs_exist_ok=True)
     print(f"{failed} of {options.seeds} seeds broke a promise")
     return 1 if failed else 0
 
--- a/tests/platform/start_linked.py
+++ b/tests/platform/start_linked.py
@@ -2,7 +2,9 @@
 
 The links, a JSON object in SOAK_LINKS, map a voter's address to that of the
 proxy on the way to it. While the file SOAK_DISK_DELAY exists, each sync of a
-file takes the seconds that it holds.
+file takes the seconds that it holds. Each sync adds a line to the file
+SOAK_SYNCED: inode and size of what is on the disk from then on. The program is
+that of the checkout SOAK_PROGRAMS.
 """
 
 import contextlib
@@ -13,24 +15,30 @@
 import sys
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(os.environ["SOAK_PROGRAMS"])
 
 
-def _delay(sync, path: pathlib.Path):
-    def delayed(descriptor: int) -> None:
+def _record(sync, delay: pathlib.Path, synced: int):
+    """Return a sync that takes as long as asked and records what it covers."""
+
+    def recorded(descriptor: int) -> None:
         with contextlib.suppress(OSError, ValueError):
-            time.sleep(float(path.read_text()))
+            time.sleep(float(delay.read_text()))
+        status = os.fstat(descriptor)
         sync(descriptor)
+        os.write(synced, f"{status.st_ino} {status.st_size}\n".encode())
 
-    return delayed
+    return recorded
 
 
 def main() -> None:
     """Run the program named on the command line."""
     links = json.loads(os.environ["SOAK_LINKS"])
     delay = pathlib.Path(os.environ["SOAK_DISK_DELAY"])
-    os.fsync = _delay(os.fsync, delay)
-    os.fdatasync = _delay(os.fdatasync, delay)
+    flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+    synced = os.open(os.environ["SOAK_SYNCED"], flags)
+    os.fsync = _record(os.fsync, delay, synced)
+    os.fdatasync = _record(os.fdatasync, delay, synced)
     sys.path.insert(0, str(ROOT / "src"))
     sys.path.insert(0, str(ROOT / "platform"))
     from flamingocleat.connection import channel
--- a/tests/platform/stop_faults.py
+++ b/tests/platform/stop_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+import time
 import typing
 
 import h11
@@ -13,8 +14,10 @@
 if typing.TYPE_CHECKING:
     from tests.platform import soak as soak_module
 
-NEW_FAULTS = {"stop_in_series", "vary_paces"}
+NEW_FAULTS = {"stop_in_series", "vary_paces", "hold_up"}
 CALLERS = 8
+HOLDS = 12
+MAX_HOLD_S = 0.6
 MAX_STOPS = 4
 """Gateways that one fault stops."""
 LINK_S = 0.04
@@ -43,6 +46,25 @@
         server.slowness = 1.0
 
 
+@faults.fault
+async def hold_up(soak: "soak_module.Soak") -> None:
+    """Let gateways not run for moments, as on a machine that is too busy.
+
+    A caller cannot tell such a moment from work that takes long, so it excuses
+    no cut.
+    """
+    for _ in range(HOLDS):
+        program = soak.random.choice(soak.gateways)
+        if not program.is_paused:
+            program.last_fault_s = time.monotonic()
+            program.notify(signal.SIGSTOP)
+            await asyncio.sleep(soak.random.uniform(0.0, MAX_HOLD_S))
+            if not program.is_paused:
+                program.notify(signal.SIGCONT)
+            program.last_fault_s = time.monotonic()
+        await asyncio.sleep(soak.random.uniform(0.0, 0.3))
+
+
 @faults.fault
 async def stop_in_series(soak: "soak_module.Soak") -> None:
     """Stop gateways one after the other, under calls of many kinds."""
