Close no connection at a stop on which a request may wait

Cause: the drain closed each connection on which no request was being served. One that the event loop had not read yet looks the same, and on a busy machine the loop stands still for longer than the 50 ms that it had. A request of which only a part had come was cut as well.

Change: a table names the phases in which a rule may end a connection, and no rule does while bytes wait that nobody has looked at. The drain goes on while a request is being read; what has not arrived whole at its end is refused with 408.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -20,6 +20,7 @@
 import prometheus_client
 
 from flamingocleat import errors
+from flamingocleat.connection import endings
 from flamingocleat.connection import intake as intake_module
 from flamingocleat.connection import listener as listeners
 from flamingocleat.process import logs
@@ -273,6 +274,18 @@
         unread = self.transport.get_write_buffer_size() + self.unsent_bytes
         self.intake.hold_answer(self.account, unread)
 
+    def has_unseen_bytes(self) -> bool:
+        """Return whether bytes have come that may belong to a request."""
+        return self.data_arrived.is_set() or endings.has_unread(self.transport)
+
+    def may_end(self, rule: endings.Rule) -> bool:
+        """Return whether a rule may end the connection now."""
+        return endings.may_end(
+            rule,
+            self.account.phase,
+            has_unseen_bytes=self.has_unseen_bytes(),
+        )
+
     # Calls of the intake.
 
     def resume(self) -> None:
@@ -653,11 +666,17 @@
         listeners.close_soon(self.listener, self.listener.close)
 
     def close_idle(self) -> None:
-        """Close connections on which no request is being served."""
+        """Close connections on which no request can wait."""
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.may_end(endings.Rule.STOP):
                 connection.transport.close()
 
+    def refuse_unfinished(self) -> None:
+        """Refuse the requests that have not arrived whole."""
+        for phase in (intake_module.Phase.HEAD, intake_module.Phase.BODY):
+            for account in list(self.intake.phases[phase]):
+                account.peer.refuse(intake_module.Reason.SLOW)
+
     async def close(self) -> None:
         """Abort all connections and wait until their tasks have ended."""
         self.closed = True
@@ -673,9 +692,13 @@
 
     @property
     def busy(self) -> int:
-        """Connections with a request, or with an answer that is not sent."""
+        """Connections with a request, or with an answer that is not sent.
+
+        A request may also be on its way to the serving task.
+        """
         return sum(
-            not each.idle or each.transport.get_write_buffer_size() > 0
+            not each.may_end(endings.Rule.STOP)
+            or each.transport.get_write_buffer_size() > 0
             for each in self.connections
         )
 
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -191,6 +191,8 @@
         while self.server.busy and time.monotonic() < end_s:
             await asyncio.sleep(IDLE_POLL_S)
             self._run_step("idle", self.server.close_idle)
+            if time.monotonic() >= end_s - ANSWER_MARGIN_S:
+                self._run_step("unfinished", self.server.refuse_unfinished)
         logs.info(
             _log,
             "drain_finished",
--- a/tests/direct/test_gateway_stop.py
+++ b/tests/direct/test_gateway_stop.py
@@ -298,6 +298,23 @@
     run_scenario(monkeypatch, scenario)
 
 
+def test_request_that_does_not_arrive_whole_is_refused_at_a_stop(monkeypatch):
+    """Guards against an exit that cuts a request off between its parts."""
+
+    async def scenario(program):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", program.port
+        )
+        writer.write(b"GET /once/x HTTP/1.1\r\nHost: front.example\r\n")
+        await asyncio.sleep(0.05)
+        await program.stop()
+        reply = support.Reply(await support.read_all(reader))
+        writer.close()
+        assert (reply.status, reply.is_complete) == (408, True)
+
+    run_scenario(monkeypatch, scenario)
+
+
 def test_connection_that_is_accepted_as_the_notice_ends_is_answered(
     monkeypatch,
 ):
