Accept the connections that wait as a listener is closed

Cause: at most 16 connections are accepted in one step, and a close resets all others that the kernel holds. While an event loop stands still, or is slow, more than that wait.

Change: what waits is accepted right before the listener is closed, and counts as busy until it is read. The emulator's servers, which crash, adopt nothing.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -585,6 +585,8 @@
                 lambda: len(self.connections)
             )
         self.connections: set[Connection] = set()
+        self.adopting: set[asyncio.Task[typing.Any]] = set()
+        """Set up connections that waited as the listener was closed."""
         self.closed = False
         """Whether connections that are set up from now on are aborted."""
         self.draining = False
@@ -663,7 +665,16 @@
     def close_listener(self) -> None:
         """Accept no new connections, and no further request on others."""
         self.listening = False
-        listeners.close_soon(self.listener, self.listener.close)
+        listeners.close_soon(self.listener, self.listener.close, self._adopt)
+
+    def _adopt(self, accepted: socket.socket) -> None:
+        """Serve a connection that waited to be accepted."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            loop.connect_accepted_socket(lambda: Connection(self), accepted)
+        )
+        self.adopting.add(task)
+        task.add_done_callback(self.adopting.discard)
 
     def close_idle(self) -> None:
         """Close connections on which no request can wait."""
@@ -683,6 +694,8 @@
         self.close_listener()
         if self.check_handle is not None:
             self.check_handle.cancel()
+        await asyncio.sleep(0)  # The listener is closed in this step.
+        await asyncio.gather(*self.adopting, return_exceptions=True)
         tasks = [each.task for each in self.connections]
         for connection in list(self.connections):
             connection.abort()
@@ -696,7 +709,7 @@
 
         A request may also be on its way to the serving task.
         """
-        return sum(
+        return len(self.adopting) + sum(
             not each.may_end(endings.Rule.STOP)
             or each.transport.get_write_buffer_size() > 0
             for each in self.connections
--- a/tests/direct/test_waiting_requests.py
+++ b/tests/direct/test_waiting_requests.py
@@ -83,6 +83,20 @@
     asyncio.run(run())
 
 
+def test_requests_that_wait_to_be_accepted_are_answered_at_a_stop():
+    """Guards against a listener that resets callers who have long sent."""
+
+    async def scenario(server):
+        callers = [server.connect() for _ in range(MANY)]
+        for caller in callers:
+            caller.send(REQUEST)
+        await server.drain()
+        answers = await asyncio.gather(*map(read, callers))
+        assert answers == [STATUS_LINE] * MANY
+
+    run_scenario(scenario)
+
+
 def test_request_on_a_kept_connection_is_answered_at_a_stop():
     """Guards against a close before the loop reads what has arrived."""
 
--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -261,6 +261,7 @@
         self.is_alive = False
         self.fleet.invariants.ends_beside.update((+self.bodies).keys())
         self.bodies = collections.Counter()
+        self.http.closed = True
         self.http.close_listener()
         if self.proxy is not None:
             self.proxy.server.close()
