Serve a request that arrives before the idle limit

Callers saw: a kept connection closed without an answer, although the request was sent up to the whole time before for which the event loop stood still.

Cause: as a loop goes on, it reads what has come, and in the same step the limit of the wait expires. The limit won.

Change: an idle limit ends a connection by the same table as a stop, so that bytes that nobody has looked at are read first.

Evidence: the test failed before (a request 0.15 s before the limit, a loop that stands still for 0.3 s).

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -484,9 +484,8 @@
 
     async def _read_head(self, limits: catalog.Limits) -> h11.Request | None:
         event = self.http.next_event()
-        if event is h11.NEED_DATA and not self.http.trailing_data[0]:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                await self._wait_for_data()
+        while event is h11.NEED_DATA and not self.http.trailing_data[0]:
+            await self._wait_while_idle(limits.idle_timeout_s)
             event = self.http.next_event()
         async with asyncio.timeout(limits.header_timeout_s):
             while event is h11.NEED_DATA:
@@ -494,6 +493,16 @@
                 event = self.http.next_event()
         return event if isinstance(event, h11.Request) else None
 
+    async def _wait_while_idle(self, limit_s: float) -> None:
+        """Wait for a request; raise TimeoutError if none comes."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._wait_for_data()
+        except TimeoutError:
+            # A loop that stood still sees the limit and the request at once.
+            if self.may_end(endings.Rule.IDLE_LIMIT):
+                raise
+
     async def _next_event(self) -> typing.Any:
         while (event := self.http.next_event()) is h11.NEED_DATA:
             await self._wait_for_data()
--- a/tests/direct/test_waiting_requests.py
+++ b/tests/direct/test_waiting_requests.py
@@ -127,6 +127,21 @@
     run_scenario(scenario)
 
 
+def test_request_is_answered_that_arrives_before_the_idle_limit():
+    """Guards against a limit that expires while the loop stands still."""
+
+    async def scenario(server):
+        caller = server.connect()
+        caller.send(REQUEST)
+        await read(caller)
+        await asyncio.sleep(0.05)
+        caller.send(REQUEST)
+        time.sleep(0.3)
+        assert await read(caller) == STATUS_LINE
+
+    run_scenario(scenario, idle_timeout_s=0.2)
+
+
 def test_connections_without_a_request_are_closed_at_a_stop():
     """Guards against a stop that waits for callers who send nothing."""
 
