Answer the calls that wait as a coordinator stops

Callers saw: operators' changes and servers' announcements reset without an answer, although they had been sent before the stop.

A coordinator closed its listener and each connection without a request being served in one step, before anything that had arrived was read, and then waited 0.5 s if a call was in progress.

Change: a coordinator drains as a gateway does, within the same 0.5 s.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -51,6 +51,8 @@
 """Time within which a request's body must arrive."""
 WRITE_TIMEOUT_S = 30.0
 """Time for which a caller may accept no bytes."""
+DRAIN_POLL_S = 0.02
+"""Interval between checks for unfinished requests while draining."""
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
 MAX_ANSWER_BYTES = 4_194_304
@@ -691,6 +693,15 @@
             if connection.may_end(endings.Rule.STOP):
                 connection.transport.close()
 
+    async def drain(self, end_s: float) -> None:
+        """Close connections as their requests end, until then at most."""
+        # Connections that waited to be accepted are known in the next step.
+        await asyncio.sleep(0)
+        self.close_idle()
+        while self.busy and time.monotonic() < end_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+            self.close_idle()
+
     def refuse_unfinished(self) -> None:
         """Refuse the requests that have not arrived whole."""
         for phase in (intake_module.Phase.HEAD, intake_module.Phase.BODY):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -248,9 +248,8 @@
         self.leadership.close()
         self.http.draining = True
         self.http.close_listener()
-        self.http.close_idle()
         self.waits.end_within(LAST_WAIT_S)
-        await asyncio.sleep(DRAIN_WAIT_S if self.http.busy else 0)
+        await self.http.drain(time.monotonic() + DRAIN_WAIT_S)
         # The process may go on with another coordinator in place of this one.
         await self.http.close()
         for task in list(self.tasks):
--- a/tests/direct/test_cut_answers.py
+++ b/tests/direct/test_cut_answers.py
@@ -1,6 +1,7 @@
 """Requests that end without a true answer, mostly around planned stops."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
@@ -298,3 +299,30 @@
         assert answer.status == 503
 
     coordinators.run_scenario(tmp_path, scenario)
+
+
+def test_calls_that_wait_as_a_coordinator_stops_are_answered(tmp_path):
+    """Guards against operators who are reset although they had long sent."""
+
+    async def scenario(cluster):
+        leader = await cluster.leader()
+        number = next(n for n, c in cluster.running.items() if c is leader)
+        address = (f"127.0.0.{number}", cluster.http_port)
+        request = (
+            f"POST {coordinators.DOCUMENT} HTTP/1.1\r\nHost: h\r\n"
+            "Content-Length: 1\r\n\r\n9"
+        ).encode()
+        with contextlib.ExitStack() as stack:
+            callers = [
+                stack.enter_context(socket.create_connection(address))
+                for _ in range(2 * http.ACCEPTED_AT_ONCE)
+            ]
+            for caller in callers:
+                caller.sendall(request)
+            await cluster.stop(number)
+            for caller in callers:
+                caller.settimeout(support.TIMEOUT_S)
+                status = caller.recv(100).split(b" ")[1]
+                assert status in (b"307", b"503")
+
+    coordinators.run_scenario(tmp_path, scenario)
