End a begun answer for a lost group, not for a pause

Callers saw: a stream broken off although its server was sound. It had written nothing for 0.35 s, the gateway closed it to go on elsewhere, and no other server did.

Cause: silence counted as the loss of a member. On a busy machine a sound server pauses for that long, and what is given up cannot be had again. That a retry is allowed and another head is listed does not mean that it will answer. The second rule also kept the streams of a group that did lose a member where no other head was listed at the moment.

Change: a begun answer is ended when the leader no longer lists its silent head, which it does within some 0.3 s of the report of the silence if a member is gone, or when two probes in a row find no way to the head. Requests without an answer move on at once, as before. Whether another head is listed is not asked: such a request waits for one, first in line.

Evidence: of the two new tests, the one with a head that pauses beside one that refuses got a broken answer before, and the one with a head whose group the leader ends before its stream moves failed as well.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -348,11 +348,12 @@
                     time.monotonic() - (candidate.suspected_s or 0.0), 3
                 ),
             )
-            has_other = self.candidates.has_other(candidate)
             for attempt in list(candidate.attempts):
-                # An answer that has begun could not go on anywhere else.
-                if has_other or not attempt.writing:
+                if not attempt.writing:
                     attempt.interrupt("head is silent")
+        for candidate in self.candidates.find_lost():
+            for attempt in list(candidate.attempts):
+                attempt.interrupt("head is lost")
         if silent:
             self.subscriber.report_now.set()
 
@@ -373,7 +374,9 @@
             )
         except http.ConnectError as error:
             candidate.refused = error.refused
+            candidate.failed_probes += 1
             return
+        candidate.failed_probes = 0
         candidate.reached_s = time.monotonic()
         client.close()
 
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -28,6 +28,8 @@
 PAUSE_THRESHOLD_S = 0.25
 """A longer interval between two silence checks shows that this process itself
 was paused, and could not receive anything from any head meanwhile."""
+LOST_PROBES = 2
+"""Failed probes in a row from which on a silent head counts as lost."""
 PENALTY_S = 2.0
 """How long a backend server is avoided after a failure, times the number of
 consecutive failures (at most 4)."""
@@ -65,6 +67,10 @@
         self.failed_retries = 0
         """Retries that have failed since the server last responded."""
         self.refused = False
+        self.failed_probes = 0
+        """Connections for probes that have failed since it last responded."""
+        self.has_stopped = False
+        """Whether its attempts got nothing for too long, and still do not."""
         self.penalty_until_s = float("-inf")
         self.failures = 0
 
@@ -113,6 +119,8 @@
         self.suspected_s = None
         self.failed_retries = 0
         self.refused = False
+        self.failed_probes = 0
+        self.has_stopped = False
 
     def mark_succeeded(self) -> None:
         """Record a complete response."""
@@ -170,15 +178,44 @@
         ]
         if not attempts:
             return False
+        silent_s = self._find_silence(attempts, now_s, unpaused_since_s)
+        if silent_s is None:
+            return False
+        self.mark_silent(silent_s if since_s is None else now_s)
+        self.has_stopped = True
+        return True
+
+    def _find_silence(
+        self,
+        attempts: list[InFlightAttempt],
+        now_s: float,
+        unpaused_since_s: float,
+    ) -> float | None:
+        """Return since when it is silent for its attempts, or None."""
         writing = [each for each in attempts if each.writing]
         limit_s = WRITING_SILENCE_S if writing else WAITING_SILENCE_S
         limit_s += READ_MARGIN * self.reading_s
         begun_s = min(each.started_s for each in writing or attempts)
         silent_s = max(self.reached_s, begun_s, unpaused_since_s)
-        if now_s - silent_s < limit_s:
+        return None if now_s - silent_s < limit_s else silent_s
+
+    def is_lost(
+        self, now_s: float, unpaused_since_s: float, *, is_listed: bool
+    ) -> bool:
+        """Return whether its silence is known to be no pause.
+
+        Silence alone does not tell a group that lost a member from one that
+        pauses. The leader ends the first kind, and the way to a head that
+        accepts no connections may be cut.
+        """
+        if is_listed and self.failed_probes < LOST_PROBES:
             return False
-        self.mark_silent(silent_s if since_s is None else now_s)
-        return True
+        attempts = list(self.attempts)
+        return self.has_stopped or (
+            bool(attempts)
+            and self._find_silence(attempts, now_s, unpaused_since_s)
+            is not None
+        )
 
     def report(self, now_s: float) -> messages.HeadReport:
         """Return the report on this head for the leader."""
@@ -205,6 +242,8 @@
     ) -> None:
         self.clock = clock
         self.by_backend: dict[ids.BackendId, Candidate] = {}
+        self.departed: set[Candidate] = set()
+        """Heads that are no longer listed, with attempts in flight."""
         self.notices = notices_module.Notices()
         self.evacuated: dict[ids.DataCentreId, float] = {}
         """Until when heads in each evacuated data centre may be used for
@@ -229,6 +268,7 @@
                 self.by_backend[view.backend] = old
             else:
                 self.by_backend[view.backend] = Candidate(view, self.notices)
+        self._depart(each for each in known.values() if not self._lists(each))
         self.notify()
 
     def discard(
@@ -236,7 +276,17 @@
     ) -> None:
         """Remove servers; attempts at them continue."""
         for backend in backends:
-            self.by_backend.pop(backend, None)
+            candidate = self.by_backend.pop(backend, None)
+            if candidate is not None:
+                self._depart([candidate])
+
+    def _lists(self, candidate: Candidate) -> bool:
+        return self.by_backend.get(candidate.view.backend) is candidate
+
+    def _depart(self, candidates: collections.abc.Iterable[Candidate]) -> None:
+        self.departed.update(
+            each for each in candidates if each.view.model and each.attempts
+        )
 
     def set_evacuated(
         self, evacuated: collections.abc.Iterable[messages.EvacuatedDataCentre]
@@ -295,14 +345,18 @@
             and not self._is_excluded(each.view, now_s)
         ]
 
-    def has_other(self, candidate: Candidate) -> bool:
-        """Return whether another server may get its requests."""
-        view = candidate.view
+    def find_lost(self) -> list[Candidate]:
+        """Return the silent heads whose answers will not go on."""
         now_s = self.clock()
-        return any(
-            each is not candidate and not each.is_silent(now_s)
-            for each in self.find(view.service, view.model)
-        )
+        self.departed = {each for each in self.departed if each.attempts}
+        heads = [each for each in self.by_backend.values() if each.view.model]
+        return [
+            each
+            for each in (*self.departed, *heads)
+            if each.is_lost(
+                now_s, self.unpaused_since_s, is_listed=self._lists(each)
+            )
+        ]
 
     def check_silence(self) -> list[Candidate]:
         """Return the candidates that are newly found silent."""
--- a/tests/direct/test_cut_answers.py
+++ b/tests/direct/test_cut_answers.py
@@ -209,6 +209,70 @@
     stops.run_scenario(monkeypatch, scenario, grace_s=4.0)
 
 
+async def pause_after_an_event(received: support.ReceivedRequest) -> None:
+    await received.send_events(1, 1, end=False)
+    await asyncio.sleep(0.8)
+    await received.send(support.chunk(support.event(2)) + b"0\r\n\r\n")
+
+
+async def refuse(received: support.ReceivedRequest) -> None:
+    await received.send(
+        received.response_head(
+            503, "Content-Length: 0", "Flamingocleat-Not-Run: 1"
+        )
+    )
+
+
+def test_stream_of_a_head_that_pauses_is_whole_though_another_refuses(
+    monkeypatch,
+):
+    """Guards against an answer that is given up for one that does not come."""
+
+    async def scenario(program):
+        paused = await program.add(pause_after_an_event, "llm")
+        request = asyncio.create_task(
+            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
+        )
+        while not paused.received:
+            await asyncio.sleep(0.01)
+        await program.add(refuse, "llm")
+        reply = await request
+        assert (reply.status, reply.is_complete) == (200, True)
+        await program.stop()
+
+    stops.run_scenario(monkeypatch, scenario)
+
+
+def test_stream_of_a_silent_head_resumes_once_the_leader_ends_its_group(
+    monkeypatch,
+):
+    """Guards against streams that stay where a member was lost."""
+
+    async def stall(received):
+        await received.send_events(1, 1, end=False)
+        await received.wait_until_closed()
+
+    async def go_on(received):
+        first = int(received.headers.get("last-event-id", 0)) + 1
+        await received.send_events(first, 2)
+
+    async def scenario(program):
+        stalled = await program.add(stall, "llm")
+        request = asyncio.create_task(
+            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
+        )
+        while not stalled.received:
+            await asyncio.sleep(0.01)
+        await program.add(go_on, "llm")
+        await asyncio.sleep(0.6)
+        program.candidates.discard([program.candidate(0).view.backend])
+        reply = await request
+        assert (reply.status, reply.is_complete) == (200, True)
+        await program.stop()
+
+    stops.run_scenario(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize("error", [KeyError("x"), TimeoutError()])
 def test_any_server_answers_although_its_handler_fails(error):
     """Guards against a closed connection where an answer is possible."""
