Keep a begun answer until another server has gone on

Cause: took a head that is not listed for a lost one, and waited for the leader's word where another head had a free slot. Each rule about when to give an answer up is wrong in some case, as silence does not say its cause.

Change: a begun answer is not given up. Where another server has a free slot and the budget allows it, a second attempt begins beside the first; its first event ends the first, and an event of the first ends it. If the second fails, the first stays. So a lost member costs no more than before, and a pause costs no answer. The decision is request/takeover.py.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -351,9 +351,10 @@
             for attempt in list(candidate.attempts):
                 if not attempt.writing:
                     attempt.interrupt("head is silent")
-        for candidate in self.candidates.find_lost():
+        for candidate in self.candidates.find_stopped():
             for attempt in list(candidate.attempts):
-                attempt.interrupt("head is lost")
+                if attempt.writing:
+                    attempt.move()
         if silent:
             self.subscriber.report_now.set()
 
@@ -374,9 +375,7 @@
             )
         except http.ConnectError as error:
             candidate.refused = error.refused
-            candidate.failed_probes += 1
             return
-        candidate.failed_probes = 0
         candidate.reached_s = time.monotonic()
         client.close()
 
--- a/src/flamingocleat/request/continuation.py
+++ b/src/flamingocleat/request/continuation.py
@@ -42,12 +42,12 @@
 
     def begin_answer(self, content_type: str) -> None:
         """Begin with an answer; raise DiscontinuityError."""
-        self.grew = False
-        self.is_joining = self.content_type is not None
         if self.content_type and content_type != self.content_type:
             raise DiscontinuityError(
                 f"the content type changes to {content_type!r}"
             )
+        self.grew = False
+        self.is_joining = self.content_type is not None
 
     def add(
         self, found: list[events.Event], content_type: str
--- a/src/flamingocleat/request/direct_attempt.py
+++ b/src/flamingocleat/request/direct_attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a gateway to have a request served by a backend server."""
 
+import collections.abc
 import enum
 import time
 
@@ -61,6 +62,28 @@
         self.can_retry = call.can_retry
         self.interrupted = ""
         self.meter: pace_samples.StreamMeter | None = None
+        self.begin_takeover: collections.abc.Callable[[], None] | None = None
+        """Has the answer continued by another server, if that is possible."""
+
+    def move(self) -> None:
+        """Have the answer that has begun continued by another server.
+
+        It stays at its server until another has written the next event.
+        """
+        if (
+            self.begin_takeover is not None
+            and not self.interrupted
+            and self.call.is_repeatable
+            and self.call.sent < self.call.route.max_attempts
+            and self.call.remaining_s() >= MIN_REMAINING_S
+        ):
+            self.begin_takeover()
+
+    def end(self, reason: str) -> None:
+        """End the attempt, whose answer has been taken over."""
+        self.interrupted = self.interrupted or reason
+        if self.client is not None:
+            self.client.close()
 
     def interrupt(self, reason: str) -> None:
         """Abort the attempt if its request may be retried elsewhere.
--- a/src/flamingocleat/request/direct_stream.py
+++ b/src/flamingocleat/request/direct_stream.py
@@ -1,6 +1,7 @@
 """A caller's event stream, which a gateway relays from backend servers."""
 
 import asyncio
+import copy
 import time
 import typing
 
@@ -10,6 +11,7 @@
 from flamingocleat.request import direct_attempt as attempts
 from flamingocleat.request import direct_call
 from flamingocleat.request import events
+from flamingocleat.request import takeover as takeovers
 
 if typing.TYPE_CHECKING:
     from flamingocleat.request import forward
@@ -27,6 +29,10 @@
         self.call = call
         self.forwarder = forwarder
         self.received = continuation.ReceivedEvents(call.last_event_id)
+        self.owner: attempts.Attempt | None = None
+        """The attempt whose events the caller gets."""
+        self.takeover: takeovers.Takeover | None = None
+        """Another attempt, which goes on if the owner stays silent."""
 
     async def relay(
         self, attempt: attempts.Attempt, client: http.Client
@@ -45,6 +51,7 @@
             raise attempts.AttemptError(
                 attempts.Failure.UNKNOWN, str(error)
             ) from error
+        self._keep_owner(attempt)
         if not self.call.exchange.started:
             self.call.exchange.start(200, forwarded_headers(answer.headers))
         await self.call.exchange.finish()
@@ -57,10 +64,15 @@
         client: http.Client,
         answer: http.Answer,
     ) -> None:
-        content_type = answer.header(b"content-type")
-        self.received.begin_answer(content_type)
         with self.forwarder.answer_room.hold(client.close) as held:
             await self._relay_parsed(attempt, client, answer, held)
+        if self.owner is None:
+            self.owner = attempt
+            self.received.begin_answer(answer.header(b"content-type"))
+        elif self.owner is not attempt:
+            raise continuation.DiscontinuityError(
+                "the answer has no further event"
+            )
         self.received.end_answer()
 
     async def _relay_parsed(
@@ -90,10 +102,42 @@
                         self.call, attempt.candidate
                     )
                 attempt.writing = True
-            await self._send(answer, self.received.add(found, content_type))
+            await self._send(answer, self._take(attempt, found, content_type))
         if parser.buffer:
             raise http.BrokenAnswerError("the stream ends within an event")
 
+    def _take(
+        self,
+        attempt: attempts.Attempt,
+        found: list[events.Event],
+        content_type: str,
+    ) -> list[events.Event]:
+        """Return those of an attempt's events that the caller lacks.
+
+        The first event of another attempt than before ends that one, so that
+        the caller gets the events of one answer at a time.
+        """
+        if self.owner is attempt:
+            self._keep_owner(attempt)
+            return self.received.add(found, content_type)
+        if not any(event.has_fields for event in found):
+            return []
+        received = copy.copy(self.received)
+        received.begin_answer(content_type)
+        added = received.add(found, content_type)
+        self.received = received
+        previous, self.owner = self.owner, attempt
+        if previous is not None:
+            previous.end("another server goes on")
+        return added
+
+    def _keep_owner(self, attempt: attempts.Attempt) -> None:
+        """End the takeover from an attempt that goes on itself."""
+        if self.takeover is not None and self.takeover.source is attempt:
+            self.takeover.cancel()
+            self.takeover = None
+            self.call.backend = attempt.candidate.view.backend
+
     async def _send_failure(self, answer: http.Answer, body: bytes) -> None:
         if self.call.exchange.started:
             raise attempts.AttemptError(
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import random
 import time
 
@@ -30,6 +31,7 @@
 from flamingocleat.request import open_requests
 from flamingocleat.request import pace_samples
 from flamingocleat.request import server_ends
+from flamingocleat.request import takeover as takeovers
 from flamingocleat.version import candidates as candidates_module
 from flamingocleat.version import catalog
 from flamingocleat.version import crashes
@@ -239,28 +241,84 @@
         tried: frozenset[ids.BackendId] = frozenset()
         connect_failures = 0
         stream = direct_stream.Stream(call, self)
-        while True:
-            with self.guard.trial(await self._admit(call)) as on_trial:
-                error = await self._try_once(call, stream, tried, on_trial)
-            if error is None:
-                return
-            if error.failure is attempts.Failure.UNKNOWN:
-                call.may_have_run = True
-            tried |= {call.backend}
-            connect_failures += error.failure is attempts.Failure.NOT_SENT
-            if not self._may_retry(call, error, connect_failures):
-                await self._fail(call, error)
-                return
-
-    async def _try_once(
+        try:
+            while True:
+                with self.guard.trial(await self._admit(call)) as on_trial:
+                    candidate = await self._place(call, tried, on_trial)
+                    error = await self._try_at(
+                        candidate, call, stream, on_trial
+                    )
+                while error is not None and stream.takeover is not None:
+                    takeover, stream.takeover = stream.takeover, None
+                    error = await takeover.finish(error)
+                if error is None:
+                    return
+                if error.failure is attempts.Failure.UNKNOWN:
+                    call.may_have_run = True
+                tried |= call.sent_to | {call.backend}
+                connect_failures += error.failure is attempts.Failure.NOT_SENT
+                if not self._may_retry(call, error, connect_failures):
+                    await self._fail(call, error)
+                    return
+        finally:
+            if stream.takeover is not None:
+                stream.takeover.cancel()
+
+    def _begin_takeover(
         self,
         call: direct_call.Call,
         stream: direct_stream.Stream,
-        tried: frozenset[ids.BackendId],
+        source: attempts.Attempt,
+    ) -> None:
+        """Have a stream continued by a server that has a free slot, if any."""
+        known = stream.takeover
+        if stream.owner is not source or (known and not known.task.done()):
+            return
+        excluded = frozenset(call.sent_to)
+        candidate = self.admission.try_place(
+            call.demand, excluded, resuming=True
+        )
+        if candidate is None:
+            return
+        if not self.budget.withdraw(call.service.name):
+            self.admission.release(candidate)
+            return
+        _RETRIES.labels(reason="takeover").inc()
+        logs.info(
+            _log,
+            "takeover_begun",
+            request=call.request_id,
+            backend=source.candidate.view.backend,
+            by=candidate.view.backend,
+        )
+        stream.takeover = takeovers.Takeover(
+            source, self._take_over(candidate, call, stream)
+        )
+
+    async def _take_over(
+        self,
+        candidate: candidates_module.Candidate,
+        call: direct_call.Call,
+        stream: direct_stream.Stream,
+    ) -> takeovers.Outcome:
+        try:
+            if await self._admit(call):
+                raise Refusal(503, "a request on trial stays where it is")
+        except BaseException as error:
+            self.admission.release(candidate)
+            if not isinstance(error, Refusal):
+                raise
+            return attempts.AttemptError(attempts.Failure.NOT_SENT, str(error))
+        return await self._try_at(candidate, call, stream, ())
+
+    async def _try_at(
+        self,
+        candidate: candidates_module.Candidate,
+        call: direct_call.Call,
+        stream: direct_stream.Stream,
         on_trial: tuple[ids.Suspect, ...],
     ) -> attempts.AttemptError | None:
         """Serve a call by one server; return why that failed, or None."""
-        candidate = await self._place(call, tried, on_trial)
         placed_s = time.monotonic()
         call.backend = candidate.view.backend
         try:
@@ -318,6 +376,9 @@
         stream: direct_stream.Stream,
     ) -> None:
         attempt = attempts.Attempt(candidate, call, self.budget)
+        attempt.begin_takeover = functools.partial(
+            self._begin_takeover, call, stream, attempt
+        )
         candidate.attempts.add(attempt)
         try:
             await self._send(call, attempt, stream)
--- /dev/null
+++ b/src/flamingocleat/request/takeover.py
@@ -0,0 +1,55 @@
+"""The takeover of a stream whose server is silent by another server.
+
+Silence does not tell a server that has lost a member from one that pauses. So
+the first answer stays until the second has written the next event, and ends the
+second if it goes on itself.
+"""
+
+import asyncio
+import collections.abc
+
+from flamingocleat.process import logs
+from flamingocleat.request import direct_attempt as attempts
+
+_log = logs.logger("forward")
+
+Outcome = attempts.AttemptError | None
+"""Why an attempt failed; None if it served the call."""
+
+
+class Takeover:
+    """A second attempt in progress beside the first."""
+
+    def __init__(
+        self,
+        source: attempts.Attempt,
+        work: collections.abc.Coroutine[None, None, Outcome],
+    ) -> None:
+        self.source = source
+        """The attempt that is silent."""
+        self.task = asyncio.create_task(work)
+
+    async def finish(self, error: attempts.AttemptError) -> Outcome:
+        """Wait until it ends; return why the call failed, or None.
+
+        Args:
+            error: Why the first attempt failed, which counts if the second was
+                not sent.
+        """
+        outcome = await self.task
+        is_unsent = (
+            outcome is not None and outcome.failure is attempts.Failure.NOT_SENT
+        )
+        return error if is_unsent else outcome
+
+    def cancel(self) -> None:
+        """End it if it is in progress."""
+        if not self.task.done():
+            self.task.cancel()
+        elif not self.task.cancelled() and (error := self.task.exception()):
+            logs.warning(
+                _log,
+                "takeover_failed",
+                request=self.source.request_id,
+                reason=logs.describe(error),
+            )
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -28,8 +28,6 @@
 PAUSE_THRESHOLD_S = 0.25
 """A longer interval between two silence checks shows that this process itself
 was paused, and could not receive anything from any head meanwhile."""
-LOST_PROBES = 2
-"""Failed probes in a row from which on a silent head counts as lost."""
 PENALTY_S = 2.0
 """How long a backend server is avoided after a failure, times the number of
 consecutive failures (at most 4)."""
@@ -45,6 +43,9 @@
     def interrupt(self, reason: str) -> None:
         """End the attempt; its request may continue elsewhere."""
 
+    def move(self) -> None:
+        """Have the answer that has begun continued elsewhere."""
+
 
 class Candidate:
     """A backend server, or the head of a group."""
@@ -67,8 +68,6 @@
         self.failed_retries = 0
         """Retries that have failed since the server last responded."""
         self.refused = False
-        self.failed_probes = 0
-        """Connections for probes that have failed since it last responded."""
         self.has_stopped = False
         """Whether its attempts got nothing for too long, and still do not."""
         self.penalty_until_s = float("-inf")
@@ -119,7 +118,6 @@
         self.suspected_s = None
         self.failed_retries = 0
         self.refused = False
-        self.failed_probes = 0
         self.has_stopped = False
 
     def mark_succeeded(self) -> None:
@@ -178,44 +176,16 @@
         ]
         if not attempts:
             return False
-        silent_s = self._find_silence(attempts, now_s, unpaused_since_s)
-        if silent_s is None:
-            return False
-        self.mark_silent(silent_s if since_s is None else now_s)
-        self.has_stopped = True
-        return True
-
-    def _find_silence(
-        self,
-        attempts: list[InFlightAttempt],
-        now_s: float,
-        unpaused_since_s: float,
-    ) -> float | None:
-        """Return since when it is silent for its attempts, or None."""
         writing = [each for each in attempts if each.writing]
         limit_s = WRITING_SILENCE_S if writing else WAITING_SILENCE_S
         limit_s += READ_MARGIN * self.reading_s
         begun_s = min(each.started_s for each in writing or attempts)
         silent_s = max(self.reached_s, begun_s, unpaused_since_s)
-        return None if now_s - silent_s < limit_s else silent_s
-
-    def is_lost(
-        self, now_s: float, unpaused_since_s: float, *, is_listed: bool
-    ) -> bool:
-        """Return whether its silence is known to be no pause.
-
-        Silence alone does not tell a group that lost a member from one that
-        pauses. The leader ends the first kind, and the way to a head that
-        accepts no connections may be cut.
-        """
-        if is_listed and self.failed_probes < LOST_PROBES:
+        if now_s - silent_s < limit_s:
             return False
-        attempts = list(self.attempts)
-        return self.has_stopped or (
-            bool(attempts)
-            and self._find_silence(attempts, now_s, unpaused_since_s)
-            is not None
-        )
+        self.mark_silent(silent_s if since_s is None else now_s)
+        self.has_stopped = True
+        return True
 
     def report(self, now_s: float) -> messages.HeadReport:
         """Return the report on this head for the leader."""
@@ -345,17 +315,17 @@
             and not self._is_excluded(each.view, now_s)
         ]
 
-    def find_lost(self) -> list[Candidate]:
-        """Return the silent heads whose answers will not go on."""
-        now_s = self.clock()
+    def find_stopped(self) -> list[Candidate]:
+        """Return the heads that still write nothing for too long.
+
+        A head that is no longer listed may have lost a member, or be finishing
+        its work.
+        """
         self.departed = {each for each in self.departed if each.attempts}
-        heads = [each for each in self.by_backend.values() if each.view.model]
         return [
             each
-            for each in (*self.departed, *heads)
-            if each.is_lost(
-                now_s, self.unpaused_since_s, is_listed=self._lists(each)
-            )
+            for each in (*self.by_backend.values(), *self.departed)
+            if each.has_stopped
         ]
 
     def check_silence(self) -> list[Candidate]:
--- a/tests/direct/test_cut_answers.py
+++ b/tests/direct/test_cut_answers.py
@@ -243,6 +243,44 @@
     stops.run_scenario(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("pause_s", [0.6, 9.0])
+def test_stream_of_a_silent_head_is_whole_whichever_head_goes_on(
+    monkeypatch, pause_s
+):
+    """Guards against events that are lost, or come twice, as heads change."""
+
+    async def pause(received):
+        await received.send_events(1, 4, end=False)
+        await asyncio.sleep(pause_s)
+        for number in range(5, 11):
+            await received.send(support.chunk(support.event(number)))
+        await received.send(b"0\r\n\r\n")
+
+    async def begin_late(received):
+        first = int(received.headers.get("last-event-id", 0)) + 1
+        await asyncio.sleep(0.5)
+        await received.send_events(first, 10)
+
+    async def scenario(program):
+        paused = await program.add(pause, "llm")
+        request = asyncio.create_task(
+            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
+        )
+        while not paused.received:
+            await asyncio.sleep(0.01)
+        other = await program.add(begin_late, "llm")
+        reply = await request
+        assert reply.body == b"".join(map(support.event, range(1, 11)))
+        assert reply.is_complete
+        assert len(other.received) == 1
+        async with asyncio.timeout(2):
+            while any(program.candidate(n).in_flight for n in (0, 1)):
+                await asyncio.sleep(0.01)
+        await program.stop()
+
+    stops.run_scenario(monkeypatch, scenario)
+
+
 def test_stream_of_a_silent_head_resumes_once_the_leader_ends_its_group(
     monkeypatch,
 ):
