Let no connection make way whose answer is not sent yet

Callers saw: at the bound on connections, a sound server's answer that ended after a part of it; or refusals although connections were idle.

Cause: an answer of up to 16 KB waits in the write buffer of a connection that counts as idle, and an abort drops it. And 16 new connections with unread requests hid all idle ones, since 16 were looked at in all.

Change: a connection whose answer is not sent yet does not make way, and 16 of each phase are looked at.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -280,6 +280,17 @@
         """Return whether bytes have come that may belong to a request."""
         return self.data_arrived.is_set() or endings.has_unread(self.transport)
 
+    def is_in_use(self) -> bool:
+        """Return whether a request may wait, or an answer is not sent yet."""
+        return (
+            self.has_unseen_bytes()
+            or self.transport.get_write_buffer_size() > 0
+        )
+
+    def has_request_behind(self) -> bool:
+        """Return whether another request may follow the one being served."""
+        return self._count_unparsed() > 0 or endings.has_unread(self.transport)
+
     def may_end(self, rule: endings.Rule) -> bool:
         """Return whether a rule may end the connection now."""
         return endings.may_end(
--- a/src/flamingocleat/connection/intake.py
+++ b/src/flamingocleat/connection/intake.py
@@ -93,7 +93,7 @@
 
 
 MAX_LOOKED_AT = 16
-"""Connections that are looked at for one that makes way."""
+"""Connections of a phase that are looked at for one that makes way."""
 
 
 class Reason(enum.Enum):
@@ -188,8 +188,11 @@
     def drop(self, reason: Reason) -> None:
         """End at once."""
 
-    def has_unseen_bytes(self) -> bool:
-        """Return whether bytes have come that may belong to a request."""
+    def is_in_use(self) -> bool:
+        """Return whether a request may wait, or an answer is not sent yet."""
+
+    def count_unread(self) -> None:
+        """Call `hold_answer` with what the caller has not read by now."""
 
 
 class Account:
@@ -302,17 +305,12 @@
     def _evictable(self) -> Account | None:
         """Return an account whose connection may make way, if one does.
 
-        Those that may have a request to be read are left out.
+        Those in use are left out.
         """
-        in_order = itertools.chain.from_iterable(
-            self.phases[phase] for phase in EVICTABLE
-        )
-        for account in itertools.islice(in_order, MAX_LOOKED_AT):
-            if (
-                account.phase is Phase.REFUSED
-                or not account.peer.has_unseen_bytes()
-            ):
-                return account
+        for phase in EVICTABLE:
+            for account in itertools.islice(self.phases[phase], MAX_LOOKED_AT):
+                if phase is Phase.REFUSED or not account.peer.is_in_use():
+                    return account
         return None
 
     def _drop(self, account: Account, reason: Reason) -> None:
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -1,8 +1,10 @@
 """Requests and answers in progress as a rule ends their connections."""
 
 import asyncio
+import socket
 
-
+from flamingocleat.connection import http
+from flamingocleat.connection import intake as intake_module
 from tests.direct import test_cut_answers as cut_answers
 from tests.direct import test_gateway_stop as stops
 from tests.direct import test_waiting_requests as waiting
@@ -11,6 +13,26 @@
 STATUS_LINE = waiting.STATUS_LINE
 
 
+def test_idle_connections_make_way_behind_new_ones_with_requests():
+    """Guards against a burst that is refused although connections are idle."""
+    bound, burst = 60, 3 * http.ACCEPTED_AT_ONCE
+
+    async def scenario(server):
+        for _ in range(bound):
+            caller = server.connect()
+            caller.send(REQUEST)
+            await waiting.read(caller)
+        callers = [server.connect() for _ in range(burst)]
+        for caller in callers:
+            caller.send(REQUEST)
+        answers = await asyncio.gather(*map(waiting.read, callers))
+        assert answers == [STATUS_LINE] * burst
+
+    waiting.run_scenario(
+        scenario, intake_module.Settings(max_connections=bound)
+    )
+
+
 def test_stream_of_a_group_that_finishes_its_work_survives_a_pause(monkeypatch):
     """Guards against a planned close of a group that cuts a paused stream.
 
@@ -33,3 +55,37 @@
         await program.stop()
 
     stops.run_scenario(monkeypatch, scenario)
+
+
+def test_connection_with_an_answer_that_is_not_sent_yet_does_not_make_way():
+    """Guards against a truncated answer at the bound on connections."""
+    body = b"x" * 14_000
+
+    async def scenario(server):
+        async def answer(exchange):
+            exchange.connection.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+            await exchange.respond(200, [], body)
+
+        server.http.handle = answer
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        server.callers.enter_context(caller)
+        caller.connect(server.address)
+        caller.setblocking(False)
+        caller.send(REQUEST)
+        await asyncio.sleep(0.05)
+        (connection,) = server.http.connections
+        assert connection.transport.get_write_buffer_size()
+        server.connect().send(REQUEST)
+        await asyncio.sleep(0.05)
+        loop = asyncio.get_running_loop()
+        received = b""
+        async with asyncio.timeout(waiting.TIMEOUT_S):
+            while not received.endswith(body):
+                data = await loop.sock_recv(caller, 65_536)
+                assert data
+                received += data
+
+    waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
--- a/tests/direct/test_intake.py
+++ b/tests/direct/test_intake.py
@@ -36,7 +36,7 @@
     def admit(self) -> None:
         self.admitted += 1
 
-    def has_unseen_bytes(self) -> bool:
+    def is_in_use(self) -> bool:
         return self.has_request
 
     def refuse(self, reason: Reason) -> None:
