Serve a request that arrives before the limits of its head and body

Callers saw: a connection reset without an answer although the whole request had been sent in time.

As a loop that stood still goes on, the limit expires in the step in which the bytes are read.

Change: what has arrived is taken before a limit counts.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -459,29 +459,45 @@
         self, body: bytearray, length: int, limits: catalog.Limits
     ) -> bool:
         """Read a body; return False if the connection ended before it did."""
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            if length > limits.max_body_bytes:
-                raise RefusedRequestError(413, "the body is too large")
-            if length > intake_module.FREE_BODY_BYTES:
-                await self._reserve(length)
-            if self.http.they_are_waiting_for_100_continue:
-                self.write(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            while isinstance(event := await self._next_event(), h11.Data):
-                body += event.data
-                if len(body) > limits.max_body_bytes:
-                    raise RefusedRequestError(413, "the body is too large")
-                if (
-                    len(body) > intake_module.FREE_BODY_BYTES
-                    and not self.account.reserved
-                ):
-                    # A body in chunks, whose length is not known.
-                    await self._reserve(
-                        limits.max_body_bytes + intake_module.LARGE_READ_BYTES
-                    )
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                event = await self._collect_body(body, length, limits)
+        except TimeoutError:
+            event = self._take_arrived(body, limits)
+            if event is h11.NEED_DATA:
+                raise
         return isinstance(event, h11.EndOfMessage)
 
+    async def _collect_body(
+        self, body: bytearray, length: int, limits: catalog.Limits
+    ) -> typing.Any:
+        """Read a body as it arrives; return the event that ends it."""
+        if length > limits.max_body_bytes:
+            raise RefusedRequestError(413, "the body is too large")
+        if length > intake_module.FREE_BODY_BYTES:
+            await self._reserve(length)
+        if self.http.they_are_waiting_for_100_continue:
+            self.write(h11.InformationalResponse(status_code=100, headers=[]))
+        while isinstance(event := await self._next_event(), h11.Data):
+            _extend(body, event.data, limits)
+            if (
+                len(body) > intake_module.FREE_BODY_BYTES
+                and not self.account.reserved
+            ):
+                # A body in chunks, whose length is not known.
+                await self._reserve(
+                    limits.max_body_bytes + intake_module.LARGE_READ_BYTES
+                )
+        return event
+
+    def _take_arrived(
+        self, body: bytearray, limits: catalog.Limits
+    ) -> typing.Any:
+        """Add what has arrived of a body; return the event after it."""
+        while isinstance(event := self.http.next_event(), h11.Data):
+            _extend(body, event.data, limits)
+        return event
+
     async def _reserve(self, length: int) -> None:
         """Wait until there is room for a body; raise if there is none."""
         self.admitted.clear()
@@ -500,10 +516,17 @@
         while event is h11.NEED_DATA and not self.http.trailing_data[0]:
             await self._wait_while_idle(limits.idle_timeout_s)
             event = self.http.next_event()
-        async with asyncio.timeout(limits.header_timeout_s):
-            while event is h11.NEED_DATA:
-                await self._wait_for_data()
-                event = self.http.next_event()
+        try:
+            async with asyncio.timeout(limits.header_timeout_s):
+                while event is h11.NEED_DATA:
+                    await self._wait_for_data()
+                    event = self.http.next_event()
+        except TimeoutError:
+            if not self.data_arrived.is_set():
+                raise
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                raise
         return event if isinstance(event, h11.Request) else None
 
     async def _wait_while_idle(self, limit_s: float) -> None:
@@ -569,6 +592,12 @@
         await asyncio.sleep(LINGER_S)
 
 
+def _extend(body: bytearray, data: bytes, limits: catalog.Limits) -> None:
+    body += data
+    if len(body) > limits.max_body_bytes:
+        raise RefusedRequestError(413, "the body is too large")
+
+
 def _no_room(reason: str) -> RefusedRequestError:
     return RefusedRequestError(503, reason)
 
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 from flamingocleat.connection import http
 from flamingocleat.connection import intake as intake_module
@@ -13,6 +14,37 @@
 STATUS_LINE = waiting.STATUS_LINE
 
 
+def test_request_is_answered_whose_head_arrives_before_its_limit():
+    """Guards against a limit of the head that wins over its last bytes."""
+
+    async def scenario(server):
+        caller = server.connect()
+        caller.send(REQUEST[:20])
+        await asyncio.sleep(0.05)
+        caller.send(REQUEST[20:])
+        time.sleep(0.3)
+        assert await waiting.read(caller) == STATUS_LINE
+
+    waiting.run_scenario(scenario, header_timeout_s=0.2)
+
+
+def test_request_is_answered_whose_body_arrives_before_its_limit(monkeypatch):
+    """Guards against a limit of the body that wins over its last bytes."""
+    monkeypatch.setattr(http, "BODY_TIMEOUT_S", 0.2)
+
+    async def scenario(server):
+        caller = server.connect()
+        caller.send(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab"
+        )
+        await asyncio.sleep(0.05)
+        caller.send(b"cd")
+        time.sleep(0.3)
+        assert await waiting.read(caller) == STATUS_LINE
+
+    waiting.run_scenario(scenario)
+
+
 def test_idle_connections_make_way_behind_new_ones_with_requests():
     """Guards against a burst that is refused although connections are idle."""
     bound, burst = 60, 3 * http.ACCEPTED_AT_ONCE
