Drain connections that are being set up as a coordinator stops

Callers saw: connections reset although asyncio had accepted them just before.

Cause: the drain looked at the connections one step after the listener was closed; their set-up takes two.

Change: a drain waits for one poll interval first, as that of a gateway does.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -735,8 +735,8 @@
 
     async def drain(self, end_s: float) -> None:
         """Close connections as their requests end, until then at most."""
-        # Connections that waited to be accepted are known in the next step.
-        await asyncio.sleep(0)
+        # Connections that were accepted last are set up meanwhile.
+        await asyncio.sleep(DRAIN_POLL_S)
         self.close_idle()
         while self.busy and time.monotonic() < end_s:
             await asyncio.sleep(DRAIN_POLL_S)
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -4,6 +4,8 @@
 import socket
 import time
 
+import pytest
+
 from flamingocleat.connection import http
 from flamingocleat.connection import intake as intake_module
 from tests.direct import test_cut_answers as cut_answers
@@ -45,6 +47,24 @@
     waiting.run_scenario(scenario)
 
 
+@pytest.mark.parametrize("steps", range(6))
+def test_connection_being_set_up_is_answered_as_a_coordinator_stops(steps):
+    """Guards against a drain that misses what asyncio has just accepted."""
+
+    async def scenario(server):
+        caller = server.connect()
+        caller.send(REQUEST)
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        server.http.draining = True
+        server.http.close_listener()
+        await server.http.drain(time.monotonic() + 0.5)
+        await server.http.close()
+        assert await waiting.read(caller) == STATUS_LINE
+
+    waiting.run_scenario(scenario)
+
+
 def test_idle_connections_make_way_behind_new_ones_with_requests():
     """Guards against a burst that is refused although connections are idle."""
     bound, burst = 60, 3 * http.ACCEPTED_AT_ONCE
