Answer a request behind another one at a stop

Callers saw: the second of two requests on one connection without an answer, although it had been read; or a request reset that came as the answer before it ended.

Cause: an answer during a stop announces the close of its connection and closes it, without a look at what has come meanwhile.

Change: the close is announced, and carried out, with the last request that has come.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -158,7 +158,10 @@
     def start(self, status: int, headers: Headers) -> None:
         """Send the status line and headers of an answer."""
         self.started = True
-        if self.connection.server.draining:
+        if (
+            self.connection.server.draining
+            and not self.connection.has_request_behind()
+        ):
             headers = [*headers, (b"connection", b"close")]
         self.connection.write(h11.Response(status_code=status, headers=headers))
 
@@ -394,7 +397,7 @@
         self._count_unread()
         if self.http.our_state is h11.MUST_CLOSE:
             return False
-        if not self.server.listening and not self._count_unparsed():
+        if not self.server.listening and not self.has_request_behind():
             return False
         try:
             self.http.start_next_cycle()
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import threading
 import time
 
 import pytest
@@ -109,6 +110,72 @@
     stops.run_scenario(monkeypatch, scenario)
 
 
+def test_request_behind_another_is_answered_at_a_stop():
+    """Guards against a close after the first of two requests that were read."""
+
+    async def scenario(server):
+        release = asyncio.Event()
+
+        async def hold(exchange):
+            await release.wait()
+            await exchange.respond(200, [], b"done")
+
+        server.http.handle = hold
+        caller = server.connect()
+        caller.send(REQUEST * 2)
+        await asyncio.sleep(0.3)
+        draining = asyncio.create_task(server.drain())
+        await asyncio.sleep(0.05)
+        release.set()
+        await draining
+        answers = b""
+        while data := await asyncio.get_running_loop().sock_recv(caller, 4096):
+            answers += data
+        assert answers.count(STATUS_LINE) == 2
+
+    waiting.run_scenario(scenario)
+
+
+def test_request_that_arrives_as_an_answer_ends_is_served_at_a_stop():
+    """Guards against a close after an answer that did not announce it."""
+
+    async def scenario(server):
+        release = asyncio.Event()
+
+        async def answer(exchange):
+            exchange.start(200, [(b"content-length", b"4")])
+            await release.wait()
+            await exchange.send(b"done")
+            await exchange.finish()
+            if not sent.is_set():
+                sent.wait(1.0)
+                time.sleep(0.3)  # The event loop stands still.
+
+        def ask_again():
+            caller.setblocking(True)
+            while b"done" not in caller.recv(1000):
+                pass
+            caller.sendall(REQUEST)
+            caller.setblocking(False)
+            sent.set()
+
+        server.http.handle = answer
+        sent = threading.Event()
+        caller = server.connect()
+        caller.send(REQUEST)
+        await asyncio.sleep(0.1)
+        thread = threading.Thread(target=ask_again)
+        thread.start()
+        draining = asyncio.create_task(server.drain())
+        await asyncio.sleep(0.1)
+        release.set()
+        await draining
+        thread.join()
+        assert await waiting.read(caller) == STATUS_LINE
+
+    waiting.run_scenario(scenario)
+
+
 def test_connection_with_an_answer_that_is_not_sent_yet_does_not_make_way():
     """Guards against a truncated answer at the bound on connections."""
     body = b"x" * 14_000
