Leave a turned-away caller time to read its refusal at a stop

Callers could see: a reset in place of the 503 of a full server.

Cause: a connection beyond the bound has a closed account in the phase of new ones, which a stop may end at once.

Change: a connection whose bytes are discarded counts as refused.

Evidence: the review's test failed before.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -296,9 +296,12 @@
 
     def may_end(self, rule: endings.Rule) -> bool:
         """Return whether a rule may end the connection now."""
+        phase = self.account.phase
+        if self.is_discarding:
+            phase = intake_module.Phase.REFUSED
         return endings.may_end(
             rule,
-            self.account.phase,
+            phase,
             has_unseen_bytes=self.has_unseen_bytes(),
         )
 
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -110,6 +110,30 @@
     stops.run_scenario(monkeypatch, scenario)
 
 
+def test_close_at_a_stop_leaves_time_for_the_refusal_of_a_turned_away_caller():
+    """Guards against a close that overtakes the answer of a full server."""
+
+    async def scenario(server):
+        release = asyncio.Event()
+
+        async def hold(exchange):
+            await release.wait()
+            await exchange.respond(200, [], b"done")
+
+        server.http.handle = hold
+        server.connect().send(REQUEST)
+        await asyncio.sleep(0.05)
+        server.connect()
+        await asyncio.sleep(0.05)
+        (turned_away,) = (
+            each for each in server.http.connections if each.account.closed
+        )
+        server.http.close_idle()
+        assert not turned_away.transport.is_closing()
+
+    waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
+
+
 def test_request_behind_another_is_answered_at_a_stop():
     """Guards against a close after the first of two requests that were read."""
 
