See the progress of callers that read slowly

Callers saw: an answer cut off at 40 KB a second while others were refused.

Cause: what a caller has read was counted only as its write buffer was full or empty again, so that two checks in a row saw no progress.

Change: each check counts what is unread first.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -268,14 +268,15 @@
     def pause_writing(self) -> None:
         """Pause writing, because the caller does not read."""
         self.write_resumed.clear()
-        self._count_unread()
+        self.count_unread()
 
     def resume_writing(self) -> None:
         """Resume writing, because the caller reads again."""
         self.write_resumed.set()
-        self._count_unread()
+        self.count_unread()
 
-    def _count_unread(self) -> None:
+    def count_unread(self) -> None:
+        """Tell the intake how much of the answers the caller has not read."""
         unread = self.transport.get_write_buffer_size() + self.unsent_bytes
         self.intake.hold_answer(self.account, unread)
 
@@ -397,7 +398,7 @@
             exchange.body = b""
             if not exchange.finished:
                 self.abort()
-        self._count_unread()
+        self.count_unread()
         if self.http.our_state is h11.MUST_CLOSE:
             return False
         if not self.server.listening and not self.has_request_behind():
--- a/src/flamingocleat/connection/intake.py
+++ b/src/flamingocleat/connection/intake.py
@@ -433,6 +433,8 @@
     def check(self) -> None:
         """End connections without progress while others wait for room."""
         self.is_crowded = False
+        for account in list(self.answering):
+            account.peer.count_unread()
         slow: list[Account] = []
         for phase in (Phase.HEAD, Phase.BODY, Phase.SERVED):
             for account in self.phases[phase]:
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -200,6 +200,45 @@
     waiting.run_scenario(scenario)
 
 
+def test_caller_that_reads_slowly_gets_its_answer_while_others_are_refused():
+    """Guards against progress that is not seen before the buffer is empty."""
+    body = b"x" * 200_000
+
+    async def scenario(server):
+        async def answer(exchange):
+            exchange.connection.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+            await exchange.respond(200, [], body)
+
+        async def press():
+            while True:
+                server.connect().send(REQUEST)
+                await asyncio.sleep(0.2)
+
+        server.http.handle = answer
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        server.callers.enter_context(caller)
+        caller.connect(server.address)
+        caller.setblocking(False)
+        caller.send(REQUEST)
+        await asyncio.sleep(0.05)
+        pressing = asyncio.create_task(press())
+        received = 0
+        loop = asyncio.get_running_loop()
+        try:
+            while received < len(body):
+                data = await loop.sock_recv(caller, 2048)
+                assert data
+                received += len(data)
+                await asyncio.sleep(0.05)
+        finally:
+            pressing.cancel()
+
+    waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
+
+
 def test_connection_with_an_answer_that_is_not_sent_yet_does_not_make_way():
     """Guards against a truncated answer at the bound on connections."""
     body = b"x" * 14_000
--- a/tests/direct/test_intake.py
+++ b/tests/direct/test_intake.py
@@ -39,6 +39,9 @@
     def is_in_use(self) -> bool:
         return self.has_request
 
+    def count_unread(self) -> None:
+        """Tests say themselves what is not read."""
+
     def refuse(self, reason: Reason) -> None:
         self.ended.append(reason)
         self.intake.release(self.account)
