Log callers that are refused for lack of connections

Operators saw: no line callers_refused for connections that were refused or ended, but a TypeError on standard error, after which no further check ran.

Cause: two fields of the line had one name.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -714,7 +714,7 @@
                 "callers_refused",
                 server=self.name,
                 held_bytes=self.intake.used,
-                connections=len(self.connections),
+                open_connections=len(self.connections),
                 **counts,
             )
         if self.intake.is_pressed or self.report.is_pending:
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -271,3 +271,19 @@
                 received += data
 
     waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
+
+
+def test_check_of_progress_goes_on_after_a_connection_was_refused():
+    """Guards against a log call that ends the checks of stalled callers."""
+    errors = []
+
+    async def scenario(server):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        server.connect().send(REQUEST)
+        await asyncio.sleep(0.05)
+        server.connect().send(REQUEST)
+        await asyncio.sleep(2 * intake_module.CHECK_INTERVAL_S)
+
+    waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
+    assert [context["message"] for context in errors] == []
