Excuse no lost call of the soak by a reload of a coordinator

Cause: each signal to a coordinator excused calls for 4 s, also a SIGHUP, which disturbs nothing, while splits of voters and stalled disks, which do, excused none. A disk that was wiped left the sizes of its files behind.

Change: ends and recorded disturbances excuse; splits and stalls are recorded.

Besides, a connection that is aborted while it waits to be accepted no longer ends the adoption of others.

--- a/src/flamingocleat/connection/listener.py
+++ b/src/flamingocleat/connection/listener.py
@@ -47,5 +47,7 @@
                 connection, _ = listening.accept()
             except BlockingIOError:
                 return
+            except ConnectionAbortedError:
+                continue
             connection.setblocking(False)
             adopt(connection)
--- a/tests/platform/answer_watch.py
+++ b/tests/platform/answer_watch.py
@@ -241,7 +241,13 @@
         disturbed = [
             *gateway.disturbed_s,
             *(at_s for at_s, number in gateway.signals if number in ENDS),
-            *(at_s for each in coordinators for at_s, _ in each.signals),
+            *(at_s for each in coordinators for at_s in each.disturbed_s),
+            *(
+                at_s
+                for each in coordinators
+                for at_s, number in each.signals
+                if number in ENDS
+            ),
         ]
         took_s = call.ended_s - call.sent_s
         if call.is_hit(disturbed) or took_s >= DEADLINE_S - DEADLINE_SLACK_S:
--- a/tests/platform/control_faults.py
+++ b/tests/platform/control_faults.py
@@ -26,6 +26,7 @@
 def _disturb(soak: "soak_module.Soak") -> None:
     for coordinator in soak.coordinators:
         coordinator.last_fault_s = time.monotonic()
+        coordinator.disturbed_s.append(coordinator.last_fault_s)
 
 
 @faults.fault
@@ -117,6 +118,7 @@
     end_s = time.monotonic() + soak.random.uniform(0.5, 4.0)
     while (now_s := time.monotonic()) < end_s + delay_s:
         coordinator.last_fault_s = now_s
+        coordinator.disturbed_s.append(now_s)
         if now_s >= end_s:
             coordinator.disk_delay.unlink(missing_ok=True)
         await asyncio.sleep(0.05)
--- a/tests/platform/power_faults.py
+++ b/tests/platform/power_faults.py
@@ -46,6 +46,7 @@
         for coordinator in soak.coordinators:
             if coordinator is lost:
                 shutil.rmtree(coordinator.folder / "data")
+                coordinator.synced.unlink(missing_ok=True)
             else:
                 _drop_unsynced(coordinator)
         await asyncio.sleep(soak.random.uniform(0.0, MAX_OFF_S))
