Answer the requests that wait as an entry or an agent stops

Callers of an entry saw: requests sent before the stop reset without an answer. Entries saw the same at an agent, took the outcome of the call for unknown, and neither tried another server nor could say "not run".

Cause: cheroot's stop closes the listener with the connections that wait to be accepted, and each kept connection, without a look at unread bytes. A connection that was accepted after the stop had begun was closed as well.

Change: once the selector's loop has ended, the connections that wait are accepted, the listener is closed, and what arrives on connections within 0.2 s is passed on to the threads, which refuse it or answer it as before.

--- /dev/null
+++ b/src/flamingocleat/connection/threaded.py
@@ -0,0 +1,81 @@
+"""HTTP servers that serve each request in a thread, on cheroot."""
+
+import contextlib
+import select
+import threading
+import time
+import typing
+
+import cheroot.connections
+import cheroot.server
+import cheroot.wsgi
+
+ARRIVAL_S = 0.2
+"""Time for which a server that has closed its listener still reads requests
+that arrive on its connections."""
+
+
+class Connections(cheroot.connections.ConnectionManager):
+    """Connections on which no request is being served."""
+
+    _selector: typing.Any
+    _from_server_socket: typing.Any
+
+    def __init__(self, server: "Server") -> None:
+        super().__init__(server)
+        self.lock = threading.Lock()
+        self.is_closed = False
+
+    def put(self, conn: cheroot.server.HTTPConnection) -> None:
+        """Keep a connection until its next request; close it if too late."""
+        with self.lock:
+            if not self.is_closed:
+                super().put(conn)
+                return
+        conn.close()
+
+    def stop(self) -> None:
+        """Stop the selector's loop, and pass on the requests that wait."""
+        super().stop()
+        self._close_listener()
+        end_s = time.monotonic() + ARRIVAL_S
+        while (remaining_s := end_s - time.monotonic()) > 0:
+            for number, conn in self._selector.select(remaining_s):
+                self._selector.unregister(number)
+                self.server.requests.put(conn)
+
+    def _close_listener(self) -> None:
+        """Accept the connections that wait, which the close would reset."""
+        listener = self.server.socket
+        waiting = select.poll()
+        waiting.register(listener, select.POLLIN)
+        with contextlib.suppress(OSError):
+            while waiting.poll(0):
+                conn = self._from_server_socket(listener)
+                if conn is not None:
+                    self.server.process_conn(conn)
+        self._selector.unregister(listener.fileno())
+        listener.close()
+        self.server.socket = None
+
+    def close(self) -> None:
+        """Close all connections."""
+        with self.lock:
+            self.is_closed = True
+            super().close()
+
+
+class Server(cheroot.wsgi.Server):
+    """HTTP server whose stop answers the requests that have arrived."""
+
+    _connections: Connections
+
+    def prepare(self) -> None:
+        """Listen, and start the threads."""
+        super().prepare()
+        self._connections.close()
+        self._connections = Connections(self)
+
+    def put_conn(self, conn: cheroot.server.HTTPConnection) -> None:
+        """Keep a connection, also while the server is being stopped."""
+        self._connections.put(conn)
--- a/src/flamingocleat/process/agent.py
+++ b/src/flamingocleat/process/agent.py
@@ -21,6 +21,7 @@
 from flamingocleat.connection import codec
 from flamingocleat.connection import heartbeat
 from flamingocleat.connection import report
+from flamingocleat.connection import threaded
 from flamingocleat.process import health
 from flamingocleat.process import logs
 from flamingocleat.process import settings
@@ -78,7 +79,7 @@
             super().write(chunk)
 
 
-class _Server(cheroot.wsgi.Server):
+class _Server(threaded.Server):
     """HTTP server of the data path."""
 
     def __init__(
--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -22,6 +22,7 @@
 from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.connection import bounded
+from flamingocleat.connection import threaded
 from flamingocleat.connection import watch
 from flamingocleat.process import allocator
 from flamingocleat.process import health
@@ -112,7 +113,7 @@
         return environ
 
 
-class Server(cheroot.wsgi.Server):
+class Server(threaded.Server):
     """HTTP server that tracks each request until its response has ended."""
 
     def __init__(
--- /dev/null
+++ b/tests/test_entry_stop.py
@@ -0,0 +1,72 @@
+"""Requests that wait on an entry's connections as a rule ends these."""
+
+import collections.abc
+
+import pytest
+
+from flamingocleat import ids
+from flamingocleat.process import entry as entry_module
+from flamingocleat.process import settings
+from flamingocleat.process import shutdown
+from tests import entry_fakes as fakes
+from tests import stopping_servers
+
+REQUEST = stopping_servers.REQUEST
+status = stopping_servers.status
+
+
+@pytest.fixture
+def callers() -> collections.abc.Iterator[stopping_servers.Callers]:
+    loop = fakes.LoopThread()
+
+    async def build() -> entry_module.Server:
+        entry_settings = settings.EntrySettings(
+            entry=ids.EntryId("e"),
+            data_centre=ids.DataCentreId("a"),
+            listen="127.0.0.1:0",
+            control=("127.0.0.1:1",),
+            threads=8,
+        )
+        entry = entry_module.build(entry_settings, shutdown.Shutdown())
+        return entry_module.Server(entry_settings, entry)
+
+    with stopping_servers.Callers(loop.run(build())) as opened:
+        yield opened
+    loop.close()
+
+
+def test_requests_that_wait_to_be_accepted_are_answered_at_a_stop(callers):
+    """Guards against a reset of the callers in the queue of the listener."""
+    waiting = [callers.connect(REQUEST) for _ in range(20)]
+    callers.server.entry.draining = True
+    callers.stop()
+    assert [status(sock) for sock in waiting] == [200] * len(waiting)
+
+
+def test_unread_request_on_a_kept_connection_is_answered_at_a_stop(callers):
+    """Guards against a kept connection closed with a request unread."""
+    callers.serve()
+    kept = callers.connect(REQUEST)
+    assert status(kept) == 200
+    released = callers.hold()
+    kept.sendall(REQUEST)
+    callers.server.entry.draining = True
+    callers.stop()
+    released.set()
+    assert status(kept) == 200
+
+
+@pytest.mark.parametrize("sent", [1, 20, len(REQUEST) - 1])
+def test_request_that_arrives_in_parts_is_answered_at_a_stop(callers, sent):
+    """Guards against a stop between two parts of a request."""
+    callers.serve()
+    kept = callers.connect(REQUEST)
+    assert status(kept) == 200
+    released = callers.hold()
+    kept.sendall(REQUEST[:sent])
+    callers.server.entry.draining = True
+    stopping = callers.stop()
+    released.set()
+    stopping.join(0.1)
+    kept.sendall(REQUEST[sent:])
+    assert status(kept) == 200
