Serve a request that reaches an entry before the idle limit

Callers saw: a kept connection reset although a whole request had been sent on it before its idle limit.

Cause: the check for idle connections looks at the time of the last answer only. A request that arrives while the accepting thread stands still, or between its look at the sockets and the check, was closed unread.

Change: a connection with bytes that nobody has read is not idle.

Evidence: the new test, in which a request is sent while the accepting thread stands still beyond the limit, failed before the change.

--- a/src/flamingocleat/connection/threaded.py
+++ b/src/flamingocleat/connection/threaded.py
@@ -58,6 +58,19 @@
         listener.close()
         self.server.socket = None
 
+    def waiting(self) -> set[int]:
+        """Return the descriptors with bytes that nobody has read."""
+        return {number for number, _ in self._selector.select(0)}
+
+    def _expire(self, threshold: float) -> None:
+        """Close the connections that are idle too long, and have no bytes."""
+        waiting = self.waiting()
+        now = time.time()
+        for number, conn in self._selector.connections:
+            if number in waiting and conn is not self.server:
+                conn.last_used = now
+        super()._expire(threshold)  # type: ignore[misc]
+
     def close(self) -> None:
         """Close all connections."""
         with self.lock:
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -1,6 +1,7 @@
 """Requests that wait on an entry's connections as a rule ends these."""
 
 import collections.abc
+import time
 
 import pytest
 
@@ -70,3 +71,17 @@
     stopping.join(0.1)
     kept.sendall(REQUEST[sent:])
     assert status(kept) == 200
+
+
+def test_request_that_arrives_at_the_idle_limit_is_answered(callers):
+    """Guards against an idle limit that does not look at unread bytes."""
+    callers.server.timeout = 0.05
+    callers.server.expiration_interval = 0.01
+    callers.serve()
+    kept = callers.connect(REQUEST)
+    assert status(kept) == 200
+    released = callers.hold()
+    kept.sendall(REQUEST)
+    time.sleep(0.1)
+    released.set()
+    assert status(kept) == 200
