End no connection of an entry that has a request to be read

Callers saw: at an entry's bound on connections, a kept connection reset although a whole request had been sent on it.

Cause: a new connection ended the one that had waited longest, whose bytes the accepting thread had not come to yet.

Change: a connection with bytes that nobody has read does not make way. If all have some, the new connection is refused, as when none waits.

Evidence: the new test, with a bound of two, failed before the change.

--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -168,14 +168,17 @@
     def _end_idle(self) -> bool:
         """End the connection that has waited longest; False if none does.
 
+        One with bytes that nobody has read does not wait.
         Runs in the thread that selects connections, as `process_conn` does for
         new ones.
         """
-        selector = typing.cast(typing.Any, self)._connections._selector
+        connections = self._connections
+        selector = connections._selector
+        unread = connections.waiting()
         idle = [
             (each.last_used, number, each)
             for number, each in selector.connections
-            if each is not self
+            if each is not self and number not in unread
         ]
         if not idle:
             return False
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -85,3 +85,16 @@
     time.sleep(0.1)
     released.set()
     assert status(kept) == 200
+
+
+def test_connection_with_an_unread_request_does_not_make_way(callers):
+    """Guards against a bound on connections that closes a request unread."""
+    callers.server.max_connections = 2
+    callers.serve()
+    kept = callers.connect(REQUEST)
+    assert status(kept) == 200
+    released = callers.hold()
+    kept.sendall(REQUEST)
+    callers.connect()
+    released.set()
+    assert status(kept) == 200
