--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -22,6 +22,7 @@
 from flamingocleat import ids
 from flamingocleat import messages
 from flamingocleat.connection import bounded
+from flamingocleat.connection import threaded
 from flamingocleat.connection import watch
 from flamingocleat.process import allocator
 from flamingocleat.process import health
@@ -112,7 +113,7 @@
         return environ
 
 
-class Server(cheroot.wsgi.Server):
+class Server(threaded.Server):
     """HTTP server that tracks each request until its response has ended."""
 
     def __init__(
@@ -167,14 +168,17 @@
     def _end_idle(self) -> bool:
         """End the connection that has waited longest; False if none does.
 
+        One with bytes that nobody has read does not wait.
         Runs in the thread that selects connections, as `process_conn` does for
         new ones.
         """
-        selector = typing.cast(typing.Any, self)._connections._selector
+        connections = self._connections
+        selector = connections._selector
+        unread = connections.waiting()
         idle = [
             (each.last_used, number, each)
             for number, each in selector.connections
-            if each is not self
+            if each is not self and number not in unread
         ]
         if not idle:
             return False
