Begin few takeovers of one stream

Callers saw: nothing yet; found by reading the diff. A takeover that failed before it sent anything, as for a request that is withheld, was begun again at each check of silence, every 50 ms, and each one counted in the retry budget that all callers share.

Change: at least 0.5 s between two takeovers of one stream.

Evidence: the test failed before.

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -271,8 +271,8 @@
         source: attempts.Attempt,
     ) -> None:
         """Have a stream continued by a server that has a free slot, if any."""
-        known = stream.takeover
-        if stream.owner is not source or (known and not known.task.done()):
+        last = stream.takeover
+        if stream.owner is not source or (last and not last.may_repeat):
             return
         excluded = frozenset(call.sent_to)
         candidate = self.admission.try_place(
--- a/src/flamingocleat/request/takeover.py
+++ b/src/flamingocleat/request/takeover.py
@@ -7,12 +7,17 @@
 
 import asyncio
 import collections.abc
+import time
 
 from flamingocleat.process import logs
 from flamingocleat.request import direct_attempt as attempts
 
 _log = logs.logger("forward")
 
+RETRY_INTERVAL_S = 0.5
+"""Time between the beginnings of two takeovers of one stream. Each counts in
+the retry budget, also if it sends nothing."""
+
 Outcome = attempts.AttemptError | None
 """Why an attempt failed; None if it served the call."""
 
@@ -27,8 +32,17 @@
     ) -> None:
         self.source = source
         """The attempt that is silent."""
+        self.begun_s = time.monotonic()
         self.task = asyncio.create_task(work)
 
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether another takeover may begin."""
+        return (
+            self.task.done()
+            and time.monotonic() - self.begun_s >= RETRY_INTERVAL_S
+        )
+
     async def finish(self, error: attempts.AttemptError) -> Outcome:
         """Wait until it ends; return why the call failed, or None.
 
--- a/tests/direct/test_cut_answers.py
+++ b/tests/direct/test_cut_answers.py
@@ -243,6 +243,35 @@
     stops.run_scenario(monkeypatch, scenario)
 
 
+def test_takeover_that_fails_is_not_repeated_at_each_check(monkeypatch):
+    """Guards against a silent stream that uses up the retry budget of all."""
+
+    async def scenario(program):
+        paused = await program.add(pause_after_an_event, "llm")
+        request = asyncio.create_task(
+            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
+        )
+        while not paused.received:
+            await asyncio.sleep(0.01)
+        await program.add(refuse, "llm")
+        forwarder = program.program.forwarder
+
+        async def refuse_trials(*_arguments):
+            raise crash_guard.WithheldError("p-1", 1.0)
+
+        forwarder.guard.admit = refuse_trials
+        withdrawals = []
+        withdraw = forwarder.budget.withdraw
+        forwarder.budget.withdraw = lambda name: (
+            withdrawals.append(name) or withdraw(name)
+        )
+        assert (await request).is_complete
+        assert 1 <= len(withdrawals) <= 2
+        await program.stop()
+
+    stops.run_scenario(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize("pause_s", [0.6, 9.0])
 def test_stream_of_a_silent_head_is_whole_whichever_head_goes_on(
     monkeypatch, pause_s
