Let the soak's programs listen before they are loaded

Cause: the soak's start script imported the module that dials voters, and with it most of the program, before the program ran. So a program neither held signals back nor listened until then, and a SIGTERM in "any phase of its start" ended it without a queue of callers.

Change: the module is given its links when the program imports it.

--- a/tests/platform/start_linked.py
+++ b/tests/platform/start_linked.py
@@ -8,6 +8,7 @@
 """
 
 import contextlib
+import importlib.machinery
 import json
 import os
 import pathlib
@@ -16,6 +17,34 @@
 import time
 
 ROOT = pathlib.Path(os.environ["SOAK_PROGRAMS"])
+CHANNEL = "flamingocleat.connection.channel"
+"""The module that dials voters."""
+
+
+class LinkFinder:
+    """Finds the module that dials voters, and lets it dial proxies.
+
+    The module is not imported before the program runs: the program holds
+    signals back, and listens, before it loads anything.
+    """
+
+    def __init__(self, links: dict[str, str]) -> None:
+        self.links = links
+
+    def find_spec(self, name, path=None, target=None):
+        """Return the spec of that module, or None for all others."""
+        if name != CHANNEL:
+            return None
+        spec = importlib.machinery.PathFinder.find_spec(name, path, target)
+        load = spec.loader.exec_module
+
+        def exec_module(module) -> None:
+            load(module)
+            dial = module.dial
+            module.dial = lambda address: dial(self.links.get(address, address))
+
+        spec.loader.exec_module = exec_module
+        return spec
 
 
 def _record(sync, delay: pathlib.Path, synced: int):
@@ -41,10 +70,7 @@
     os.fdatasync = _record(os.fdatasync, delay, synced)
     sys.path.insert(0, str(ROOT / "src"))
     sys.path.insert(0, str(ROOT / "platform"))
-    from flamingocleat.connection import channel
-
-    dial = channel.dial
-    channel.dial = lambda address: dial(links.get(address, address))
+    sys.meta_path.insert(0, LinkFinder(links))
     runpy.run_path(str(ROOT / "platform" / "start.py"), run_name="__main__")
 
 
