Let callers over slow links wait until their gateway listens

Cause: a link is a proxy, which accepts connections whether or not its gateway does. Callers avoided gateways whose process was being replaced, but not those that had been started and did not listen yet. Their calls were counted as cut unread, although no gateway ever had their connection.

Change: such a caller looks whether somebody listens at the gateway's address before it uses the link. It now also opens connections during a drain notice, which it did not do before.

--- a/tests/platform/stop_faults.py
+++ b/tests/platform/stop_faults.py
@@ -22,6 +22,8 @@
 """Gateways that one fault stops."""
 LINK_S = 0.04
 """Latency of the links of some callers, in each direction."""
+LISTEN_S = 1.0
+"""Time within which a gateway that listens accepts a connection."""
 READ_PAUSE_S = 0.08
 """Time between two reads of slow readers."""
 PACES = (0.15, 0.5, 1.0, 2.5, 4.0, 5.4)
@@ -109,6 +111,17 @@
     await stopping
 
 
+async def _is_listening(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(LISTEN_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 async def _call(
     soak: "soak_module.Soak",
     number: int,
@@ -132,11 +145,11 @@
         count += 1
         if caller.connection is None:
             gateway = soak.random.choice(soak.gateways)
-            if kind == 1 and gateway.restart_lock.locked():
+            address = gateway.address(soak.front_port)
+            if kind == 1 and not await _is_listening(address):
                 # The link would accept connections that nobody serves.
                 await asyncio.sleep(0.05)
                 continue
-            address = gateway.address(soak.front_port)
             await caller.open(
                 links[gateway.node].bound() if kind == 1 else address
             )
