Lose no second disk of the soak while the first is being filled

Cause, by the coordinators' logs: lose_disk had checked that all disks were full, then waited for a coordinator that lose_power restarted. lose_power emptied the disk of coordinator-3 and lose_disk that of coordinator-2 within 0.2 s: two of three, more than a deployment has to bear.

Change: the check is made again once the coordinator is held.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -984,6 +984,9 @@
     if not soak.may_lose_disk():
         return
     async with coordinator.restart_lock:
+        # Another fault may have held the lock meanwhile.
+        if not soak.may_lose_disk():
+            return
         await coordinator.end(signal.SIGKILL)
         shutil.rmtree(coordinator.folder / "data")
         await coordinator.start()
