--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -287,3 +287,18 @@
 
     waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
     assert [context["message"] for context in errors] == []
+
+
+def test_stop_ends_soon_although_a_caller_sends_half_a_body():
+    """Guards against one caller that makes each stop take its whole time."""
+
+    async def scenario(server):
+        server.connect().send(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab"
+        )
+        await asyncio.sleep(0.05)
+        began_s = time.monotonic()
+        await server.drain()
+        assert time.monotonic() - began_s < waiting.DRAIN_S / 2
+
+    waiting.run_scenario(scenario)
