--- a/tests/direct/test_cut_answers.py
+++ b/tests/direct/test_cut_answers.py
@@ -209,6 +209,18 @@
     stops.run_scenario(monkeypatch, scenario, grace_s=4.0)
 
 
+async def begin_stream(
+    program: stops.Gateway, backend: support.Backend
+) -> asyncio.Task:
+    """Return a request for a stream that a server has received."""
+    request = asyncio.create_task(
+        program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
+    )
+    while not backend.received:
+        await asyncio.sleep(0.01)
+    return request
+
+
 async def pause_after_an_event(received: support.ReceivedRequest) -> None:
     await received.send_events(1, 1, end=False)
     await asyncio.sleep(0.8)
@@ -230,11 +242,7 @@
 
     async def scenario(program):
         paused = await program.add(pause_after_an_event, "llm")
-        request = asyncio.create_task(
-            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
-        )
-        while not paused.received:
-            await asyncio.sleep(0.01)
+        request = await begin_stream(program, paused)
         await program.add(refuse, "llm")
         reply = await request
         assert (reply.status, reply.is_complete) == (200, True)
@@ -248,11 +256,7 @@
 
     async def scenario(program):
         paused = await program.add(pause_after_an_event, "llm")
-        request = asyncio.create_task(
-            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
-        )
-        while not paused.received:
-            await asyncio.sleep(0.01)
+        request = await begin_stream(program, paused)
         await program.add(refuse, "llm")
         forwarder = program.program.forwarder
 
@@ -292,11 +296,7 @@
 
     async def scenario(program):
         paused = await program.add(pause, "llm")
-        request = asyncio.create_task(
-            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
-        )
-        while not paused.received:
-            await asyncio.sleep(0.01)
+        request = await begin_stream(program, paused)
         other = await program.add(begin_late, "llm")
         reply = await request
         assert reply.body == b"".join(map(support.event, range(1, 11)))
@@ -325,11 +325,7 @@
 
     async def scenario(program):
         stalled = await program.add(stall, "llm")
-        request = asyncio.create_task(
-            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
-        )
-        while not stalled.received:
-            await asyncio.sleep(0.01)
+        request = await begin_stream(program, stalled)
         await program.add(go_on, "llm")
         await asyncio.sleep(0.6)
         program.candidates.discard([program.candidate(0).view.backend])
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -95,11 +95,7 @@
 
     async def scenario(program):
         paused = await program.add(cut_answers.pause_after_an_event, "llm")
-        request = asyncio.create_task(
-            program.request("/stream/x", "POST", X_Request_Timeout_Ms="9000")
-        )
-        while not paused.received:
-            await asyncio.sleep(0.01)
+        request = await cut_answers.begin_stream(program, paused)
         await asyncio.sleep(0.1)
         await program.add(cut_answers.refuse, "llm")
         program.candidates.discard([program.candidate(0).view.backend])
