--- a/src/flamingocleat/connection/peer.py
+++ b/src/flamingocleat/connection/peer.py
@@ -24,6 +24,11 @@
 
 HEARTBEAT_INTERVAL_S = 0.1
 HEARTBEAT_TIMEOUT_S = 0.3
+BULK_TIMEOUT_S = 1.0
+"""First time limit of a call with entries or a snapshot. It doubles while the
+follower answers heartbeats but not in time, since its disk or link may be slow.
+Otherwise a call that is lost on a silent connection would hold up the follower
+for as long as the slowest call may take."""
 APPEND_TIMEOUT_S = 5.0
 """Long enough for an fsync on a slow disk."""
 SNAPSHOT_TIMEOUT_S = 60.0
@@ -130,6 +135,7 @@
         self.entries_added = asyncio.Event()
         self.round_begun = asyncio.Event()
         self.failing = False
+        self.bulk_timeout_s = BULK_TIMEOUT_S
         self.reads_packed = False
         """Whether the voter reads compressed entries, by its last reply."""
 
@@ -165,11 +171,18 @@
             if self.next_index > self.consensus.entries.last_index:
                 await self.entries_added.wait()
                 continue
+            sent_s = time.monotonic()
             try:
                 await self._send_next()
             except CALL_ERRORS as error:
+                if _is_timeout(error) and self.answered_s >= sent_s:
+                    self.bulk_timeout_s = min(
+                        2 * self.bulk_timeout_s, SNAPSHOT_TIMEOUT_S
+                    )
                 self._record_failure(error)
                 await asyncio.sleep(RETRY_INTERVAL_S)
+            else:
+                self.bulk_timeout_s = BULK_TIMEOUT_S
 
     async def _send_next(self) -> None:
         entries = self.consensus.entries
@@ -180,7 +193,8 @@
         batch = entries.batch_after(
             previous, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES
         )
-        reply = await self._append(previous, batch, APPEND_TIMEOUT_S)
+        timeout_s = min(self.bulk_timeout_s, APPEND_TIMEOUT_S)
+        reply = await self._append(previous, batch, timeout_s)
         if reply.term != self.term:
             return
         if reply.success:
@@ -236,7 +250,7 @@
         )
         sent_s = time.monotonic()
         reply = await self.consensus.call(
-            codec.INSTALL_SNAPSHOT, self.address, request, SNAPSHOT_TIMEOUT_S
+            codec.INSTALL_SNAPSHOT, self.address, request, self.bulk_timeout_s
         )
         if reply.term == self.term:
             self.contact_s = max(self.contact_s, sent_s)
@@ -275,3 +289,10 @@
         grpclib.Status.INVALID_ARGUMENT,
         grpclib.Status.UNAVAILABLE,
     )
+
+
+def _is_timeout(error: BaseException) -> bool:
+    """Return whether a call took too long, at either end."""
+    if isinstance(error, grpclib.GRPCError):
+        return error.status is grpclib.Status.DEADLINE_EXCEEDED
+    return isinstance(error, TimeoutError)
