Keep a late answer that no other server can replace

Callers got a 502, or an answer that was begun once more at the same server, in place of an answer on its way: an idempotent call that had no answer after 0.6 of its objective was given up before anyone knew whether the retry budget or a free server allowed another attempt.

Now the call stays where it is unless another server has a free slot and the budget allows the retry, which then counts it at once. Both cases of the test failed before (502; the only server got the request twice).

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -45,7 +45,7 @@
 """Bound on the servers that are tried until one accepts a connection."""
 FIRST_ATTEMPT_FRACTION = 0.6
 """Fraction of the objective after which an idempotent call is retried on
-another server."""
+another server, if one is free and the budget allows it."""
 MAX_RETRY_AFTER_FRACTION = 1 / 3
 """Bounds Retry-After to this fraction of the caller's remaining time."""
 NO_VIEW_RETRY_AFTER_S = 0.5
@@ -525,22 +525,26 @@
         client: http.Client,
         held: answer_room.HeldAnswer,
     ) -> tuple[http.Answer, bytes]:
-        limit_s = call.remaining_s()
-        if attempt.can_retry:
-            limit_s = min(
-                limit_s, call.route.objective_s * FIRST_ATTEMPT_FRACTION
-            )
+        retry_s = call.route.objective_s * FIRST_ATTEMPT_FRACTION
         try:
-            async with asyncio.timeout(limit_s):
-                answer = await client.answer()
-                self.record_head(attempt, answer)
-                return answer, await client.read_all(count=held.grow)
+            async with asyncio.timeout(call.remaining_s()) as timeout:
+                retry = asyncio.get_running_loop().call_later(
+                    retry_s, self._move_late_answer, attempt, timeout
+                )
+                try:
+                    answer = await client.answer()
+                    self.record_head(attempt, answer)
+                    return answer, await client.read_all(count=held.grow)
+                finally:
+                    retry.cancel()
         except TimeoutError as error:
             attempt.candidate.mark_failed(time.monotonic())
             self.pace.record_answer(attempt, call)
-            raise attempts.AttemptError(
+            failed = attempts.AttemptError(
                 attempts.Failure.UNKNOWN, "no answer in time"
-            ) from error
+            )
+            failed.has_budget = attempt.has_budget
+            raise failed from error
         except http.BrokenAnswerError as error:
             if held.has_ended:
                 raise http.BrokenAnswerError(
@@ -548,6 +552,21 @@
                 ) from error
             raise
 
+    def _move_late_answer(
+        self, attempt: attempts.Attempt, timeout: asyncio.Timeout
+    ) -> None:
+        """End the wait for an answer if another server can be asked.
+
+        Otherwise it is still the only answer that the caller may get.
+        """
+        call = attempt.call
+        other = self.admission.choose(call.demand, frozenset(call.sent_to))
+        if not attempt.can_retry or other is None:
+            return
+        attempt.has_budget = self.budget.withdraw(call.service.name)
+        if attempt.has_budget:
+            timeout.reschedule(asyncio.get_running_loop().time())
+
     def record_head(
         self, attempt: attempts.Attempt, answer: http.Answer
     ) -> None:
--- a/tests/direct/test_interruptions.py
+++ b/tests/direct/test_interruptions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from flamingocleat.connection import http
+from flamingocleat.request import budget
 from tests.direct import support
 
 EVENTS = b"".join(support.event(number) for number in range(1, 11))
@@ -165,3 +166,22 @@
             writer.close()
 
     support.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("servers", [1, 2])
+def test_late_answer_is_not_given_up_without_a_retry(servers):
+    """Guards against a failure in place of an answer on its way."""
+
+    async def answer_late(received):
+        await asyncio.sleep(0.4)  # The retry is due after 0.18 s.
+        await received.answer(b"late")
+
+    async def scenario(harness):
+        for _ in range(servers):
+            await harness.add(answer_late)
+        harness.budget.settings = budget.BudgetSettings(0.0, 0.0, 10.0)
+        reply = await harness.request("/read/x")
+        assert (reply.status, reply.body) == (200, b"late")
+        assert sum(len(each.received) for each in harness.backends) == 1
+
+    support.run_scenario(scenario)
