Read nothing more from an attempt that was ended

A stream that was taken over broke off although two sound servers went on: the client of the ended attempt still returned the events that had been received before it was closed, so that attempt became the owner again and ended the second one. A closed client now raises at the next read.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -922,8 +922,7 @@
             while data := await self.read():
                 body += data
                 count(len(data))
-                if self.closed:
-                    raise BrokenAnswerError("closed on this side")
+                self._check_open()
                 if len(body) > limit:
                     raise BrokenAnswerError("the answer is too large")
             return bytes(body)
@@ -943,18 +942,22 @@
 
     async def _next_event(self) -> typing.Any:
         try:
+            self._check_open()
             while (event := self.http.next_event()) is h11.NEED_DATA:
                 data = await self.reader.read(_READ_BYTES)
-                if self.closed:
-                    # asyncio reports it as an orderly end by the server, which
-                    # would complete an answer without a length.
-                    raise BrokenAnswerError("closed on this side")
+                # asyncio reports a close as an orderly end by the server, which
+                # would complete an answer without a length.
+                self._check_open()
                 self.http.receive_data(data)
                 self._count_received(data)
         except (OSError, h11.RemoteProtocolError) as error:
             raise BrokenAnswerError(f"{error!r}") from error
         return event
 
+    def _check_open(self) -> None:
+        if self.closed:
+            raise BrokenAnswerError("closed on this side")
+
     def _count_received(self, data: bytes) -> None:
         """Count bytes; raise BrokenAnswerError if too few belong to a body."""
         self.received_bytes += len(data)
