Release the slot of each takeover, and take none without a retry

Two faults of takeovers, found by a review. A takeover that was cancelled before its task ran never released its slot, and a head with a request in flight stays silent for good; the slot is now released as the task ends. And while the retry budget was empty, each silent stream took and released a slot every 50 ms, which charged its customer in the fair order; the budget is asked before a slot is taken.

--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -245,9 +245,14 @@
             while True:
                 with self.guard.trial(await self._admit(call)) as on_trial:
                     candidate = await self._place(call, tried, on_trial)
-                    error = await self._try_at(
-                        candidate, call, stream, on_trial
-                    )
+                    placed_s = time.monotonic()
+                    try:
+                        error = await self._try_at(
+                            candidate, call, stream, on_trial
+                        )
+                    finally:
+                        held_s = time.monotonic() - placed_s
+                        self.admission.release(candidate, held_s)
                 while error is not None and stream.takeover is not None:
                     takeover, stream.takeover = stream.takeover, None
                     error = await takeover.finish(error)
@@ -275,14 +280,14 @@
         if stream.owner is not source or (last and not last.may_repeat):
             return
         excluded = frozenset(call.sent_to)
-        candidate = self.admission.try_place(
-            call.demand, excluded, resuming=True
-        )
-        if candidate is None:
+        if not self.admission.choose(call.demand, excluded, resuming=True):
             return
         if not self.budget.withdraw(call.service.name):
-            self.admission.release(candidate)
             return
+        candidate = self.admission.try_place(
+            call.demand, excluded, resuming=True
+        )
+        assert candidate is not None
         _RETRIES.labels(reason="takeover").inc()
         logs.info(
             _log,
@@ -292,7 +297,9 @@
             by=candidate.view.backend,
         )
         stream.takeover = takeovers.Takeover(
-            source, self._take_over(candidate, call, stream)
+            source,
+            self._take_over(candidate, call, stream),
+            functools.partial(self.admission.release, candidate),
         )
 
     async def _take_over(
@@ -304,10 +311,7 @@
         try:
             if await self._admit(call):
                 raise Refusal(503, "a request on trial stays where it is")
-        except BaseException as error:
-            self.admission.release(candidate)
-            if not isinstance(error, Refusal):
-                raise
+        except Refusal as error:
             return attempts.AttemptError(attempts.Failure.NOT_SENT, str(error))
         return await self._try_at(candidate, call, stream, ())
 
@@ -319,7 +323,6 @@
         on_trial: tuple[ids.Suspect, ...],
     ) -> attempts.AttemptError | None:
         """Serve a call by one server; return why that failed, or None."""
-        placed_s = time.monotonic()
         call.backend = candidate.view.backend
         try:
             with self.guard.trial_at(call.backend, on_trial):
@@ -332,8 +335,6 @@
                 self.server_ends.record_failure(call, candidate)
             self._log_failure(call, candidate, error)
             return error
-        finally:
-            self.admission.release(candidate, time.monotonic() - placed_s)
         return None
 
     async def _admit(self, call: direct_call.Call) -> tuple[ids.Suspect, ...]:
--- a/src/flamingocleat/request/takeover.py
+++ b/src/flamingocleat/request/takeover.py
@@ -29,11 +29,24 @@
         self,
         source: attempts.Attempt,
         work: collections.abc.Coroutine[None, None, Outcome],
+        release: collections.abc.Callable[[float], None],
     ) -> None:
+        """Begin it.
+
+        Args:
+            source: The attempt that is silent.
+            work: Serves the call by another server.
+            release: Called at the end, also of work that never began, with the
+                time in seconds for which the other server's slot was taken.
+        """
         self.source = source
         """The attempt that is silent."""
         self.begun_s = time.monotonic()
         self.task = asyncio.create_task(work)
+        # A task that is cancelled before it runs enters none of its blocks.
+        self.task.add_done_callback(
+            lambda _task: release(time.monotonic() - self.begun_s)
+        )
 
     @property
     def may_repeat(self) -> bool:
