--- a/src/flamingocleat/connection/peer.py
+++ b/src/flamingocleat/connection/peer.py
@@ -25,10 +25,10 @@
 HEARTBEAT_INTERVAL_S = 0.1
 HEARTBEAT_TIMEOUT_S = 0.3
 BULK_TIMEOUT_S = 1.0
-"""First time limit of a call with entries or a snapshot. It doubles while the
-follower answers heartbeats but not in time, since its disk or link may be slow.
-Otherwise a call that is lost on a silent connection would hold up the follower
-for as long as the slowest call may take."""
+"""First time limit of a call with entries or a snapshot. It doubles with each
+call that exceeds it, since the follower's disk or link may be slow. Otherwise a
+call that is lost on a silent connection would hold up the follower for as long
+as the slowest call may take."""
 APPEND_TIMEOUT_S = 5.0
 """Long enough for an fsync on a slow disk."""
 SNAPSHOT_TIMEOUT_S = 60.0
@@ -171,11 +171,10 @@
             if self.next_index > self.consensus.entries.last_index:
                 await self.entries_added.wait()
                 continue
-            sent_s = time.monotonic()
             try:
                 await self._send_next()
             except CALL_ERRORS as error:
-                if _is_timeout(error) and self.answered_s >= sent_s:
+                if _is_timeout(error):
                     self.bulk_timeout_s = min(
                         2 * self.bulk_timeout_s, SNAPSHOT_TIMEOUT_S
                     )
