Give up no stream for silence before another can go on

Two ways in which silence still ended an answer of a sound server, found by a review. A begun stream that was resumed after a break was closed as its next server read the prompt for more than 1 s, and lost when the third refused (rule LOST); it is taken over like any begun stream now. A stream without an event was closed before anyone asked the retry budget, and its caller got 502 if that was empty; the budget is asked first.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -349,11 +349,11 @@
                 ),
             )
             for attempt in list(candidate.attempts):
-                if not attempt.writing:
+                if not attempt.call.exchange.started:
                     attempt.interrupt("head is silent")
         for candidate in self.candidates.find_stopped():
             for attempt in list(candidate.attempts):
-                if attempt.writing:
+                if attempt.call.exchange.started:
                     attempt.move()
         if silent:
             self.subscriber.report_now.set()
--- a/src/flamingocleat/request/direct_attempt.py
+++ b/src/flamingocleat/request/direct_attempt.py
@@ -88,12 +88,11 @@
     def interrupt(self, reason: str) -> None:
         """Abort the attempt if its request may be retried elsewhere.
 
-        An answer that has begun and may not be retried stays at its server,
-        which may go on.
+        Otherwise it stays at its server, which may go on.
         """
         if not self.can_retry or self.interrupted:
             return
-        if self.call.exchange.started:
+        if self.client is not None:
             self.has_budget = (
                 self.call.remaining_s() >= MIN_REMAINING_S
                 and self.budget.withdraw(self.call.service.name)
--- a/src/flamingocleat/request/direct_stream.py
+++ b/src/flamingocleat/request/direct_stream.py
@@ -127,8 +127,11 @@
         added = received.add(found, content_type)
         self.received = received
         previous, self.owner = self.owner, attempt
-        if previous is not None:
-            previous.end("another server goes on")
+        self._keep_owner(attempt)
+        source = self.takeover.source if self.takeover is not None else None
+        for other in (previous, source):
+            if other is not None:
+                other.end("another server goes on")
         return added
 
     def _keep_owner(self, attempt: attempts.Attempt) -> None:
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -277,7 +277,7 @@
     ) -> None:
         """Have a stream continued by a server that has a free slot, if any."""
         last = stream.takeover
-        if stream.owner is not source or (last and not last.may_repeat):
+        if last and not last.may_repeat:
             return
         excluded = frozenset(call.sent_to)
         if not self.admission.choose(call.demand, excluded, resuming=True):
