Cut no answer at the idle limit that its caller still reads

The idle limit of a kept connection aborted it although a part of the last answer was not sent yet: callers that stopped reading for the limit got a truncated answer (review; the test failed before). The connection now stays until the answer is sent, or nothing of it is taken for the limit of writes.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -543,8 +543,13 @@
                 await self._wait_for_data()
         except TimeoutError:
             # A loop that stood still sees the limit and the request at once.
-            if self.may_end(endings.Rule.IDLE_LIMIT):
+            if not self.may_end(endings.Rule.IDLE_LIMIT):
+                return
+            is_sent = self.transport.get_write_buffer_size() == 0
+            if is_sent or limit_s >= WRITE_TIMEOUT_S:
                 raise
+            # The close would cut the answer before.
+            await self._wait_while_idle(WRITE_TIMEOUT_S)
 
     async def _next_event(self) -> typing.Any:
         while (event := self.http.next_event()) is h11.NEED_DATA:
