Take no head for silent whose callers do not read

Time in which an answer waits for its caller no longer counts as silence of its server, and such an answer is not moved. The fake attempt of test_candidates has the two new fields.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -349,11 +349,11 @@
                 ),
             )
             for attempt in list(candidate.attempts):
-                if not attempt.call.exchange.started:
+                if not attempt.has_begun:
                     attempt.interrupt("head is silent")
         for candidate in self.candidates.find_stopped():
             for attempt in list(candidate.attempts):
-                if attempt.call.exchange.started:
+                if attempt.has_begun:
                     attempt.move()
         if silent:
             self.subscriber.report_now.set()
--- a/src/flamingocleat/request/direct_attempt.py
+++ b/src/flamingocleat/request/direct_attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a gateway to have a request served by a backend server."""
 
 import collections.abc
+import contextlib
 import enum
 import time
 
@@ -56,6 +57,8 @@
         """Whether the budget already counts the retry."""
         self.request_id = call.request_id
         self.started_s = time.monotonic()
+        self.listening_s = self.started_s
+        self.is_held = False
         self.writing = False
         self.prompt_tokens = call.demand.prompt_tokens
         self.client: http.Client | None = None
@@ -65,6 +68,21 @@
         self.begin_takeover: collections.abc.Callable[[], None] | None = None
         """Has the answer continued by another server, if that is possible."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has got a part of the answer."""
+        return self.call.exchange.started
+
+    @contextlib.contextmanager
+    def hold(self) -> collections.abc.Iterator[None]:
+        """Count no silence while the caller takes what the server wrote."""
+        self.is_held = True
+        try:
+            yield
+        finally:
+            self.is_held = False
+            self.listening_s = time.monotonic()
+
     def move(self) -> None:
         """Have the answer that has begun continued by another server.
 
@@ -73,6 +91,7 @@
         if (
             self.begin_takeover is not None
             and not self.interrupted
+            and not self.is_held
             and self.call.is_repeatable
             and self.call.sent < self.call.route.max_attempts
             and self.call.remaining_s() >= MIN_REMAINING_S
--- a/src/flamingocleat/request/direct_stream.py
+++ b/src/flamingocleat/request/direct_stream.py
@@ -102,7 +102,9 @@
                         self.call, attempt.candidate
                     )
                 attempt.writing = True
-            await self._send(answer, self._take(attempt, found, content_type))
+            unsent = self._take(attempt, found, content_type)
+            with attempt.hold():
+                await self._send(answer, unsent)
         if parser.buffer:
             raise http.BrokenAnswerError("the stream ends within an event")
 
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -455,7 +455,7 @@
                 attempts.Failure.NOT_SENT, str(error)
             ) from error
         attempt.client = client
-        attempt.started_s = time.monotonic()
+        attempt.started_s = attempt.listening_s = time.monotonic()
         if attempt.interrupted:
             raise attempts.AttemptError(
                 attempts.Failure.NOT_SENT, attempt.interrupted
--- a/src/flamingocleat/version/candidates.py
+++ b/src/flamingocleat/version/candidates.py
@@ -37,9 +37,17 @@
     """An attempt in flight at a backend server."""
 
     started_s: float
+    listening_s: float
+    """Since when what the server writes is read."""
+    is_held: bool
+    """Whether nothing is read, since the caller takes nothing."""
     writing: bool
     prompt_tokens: int
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has got a part of the answer."""
+
     def interrupt(self, reason: str) -> None:
         """End the attempt; its request may continue elsewhere."""
 
@@ -172,14 +180,15 @@
         attempts = [
             each
             for each in self.attempts
-            if since_s is None or each.started_s > since_s
+            if not each.is_held
+            and (since_s is None or each.started_s > since_s)
         ]
         if not attempts:
             return False
         writing = [each for each in attempts if each.writing]
         limit_s = WRITING_SILENCE_S if writing else WAITING_SILENCE_S
         limit_s += READ_MARGIN * self.reading_s
-        begun_s = min(each.started_s for each in writing or attempts)
+        begun_s = min(each.listening_s for each in writing or attempts)
         silent_s = max(self.reached_s, begun_s, unpaused_since_s)
         if now_s - silent_s < limit_s:
             return False
--- a/tests/direct/test_candidates.py
+++ b/tests/direct/test_candidates.py
@@ -30,7 +30,8 @@
     """An attempt in flight at a head."""
 
     def __init__(self, started_s: float, *, writing: bool) -> None:
-        self.started_s = started_s
+        self.started_s = self.listening_s = started_s
+        self.is_held = False
         self.writing = writing
         self.prompt_tokens = PROMPT_TOKENS
 
