Count a gateway's grace period from the signal

The drain began when the event loop learned of SIGTERM. The handler records the time of the first signal. A SIGTERM that is held back during a start still counts from its delivery.

--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -147,7 +147,7 @@
             listen=self.settings.listen,
         )
         await self.shutdown.requested.wait()
-        await self._drain(time.monotonic())
+        await self._drain(self.shutdown.begun_s or time.monotonic())
         for task in tasks:
             task.cancel()
         logs.info(_log, "gateway_stopped", gateway=self.settings.gateway)
--- a/src/flamingocleat/process/shutdown.py
+++ b/src/flamingocleat/process/shutdown.py
@@ -6,6 +6,7 @@
 import functools
 import signal
 import threading
+import time
 import types
 
 from flamingocleat.process import logs
@@ -23,6 +24,9 @@
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.requested = asyncio.Event()
+        self.begun_s: float | None = None
+        """When the stop was requested first, in monotonic time. The event loop
+        may learn of a signal much later."""
         self.idle = asyncio.Event()
         self.idle.set()
         self.in_flight: set[str] = set()
@@ -49,6 +53,8 @@
         action: collections.abc.Callable[[], None],
     ) -> None:
         def deliver(_number: int, _frame: types.FrameType | None) -> None:
+            if number is not signal.SIGHUP:
+                self._record_begin()
             with contextlib.suppress(RuntimeError):
                 self.loop.call_soon_threadsafe(action)
 
@@ -79,9 +85,14 @@
 
     def request(self, reason: str) -> None:
         """Request the program to stop."""
+        self._record_begin()
         logs.info(_log, "shutdown_requested", reason=reason)
         self.requested.set()
 
+    def _record_begin(self) -> None:
+        if self.begun_s is None:
+            self.begun_s = time.monotonic()
+
     @contextlib.contextmanager
     def track_call(self, name: str) -> collections.abc.Iterator[None]:
         """Track a call as in flight; its unique name appears in the log."""
