Refuse a request that ceases to arrive during a stop

Callers saw nothing wrong, but one caller that sent half a request kept a gateway from ending before its grace period did.

Cause: a stop closes no connection in the middle of a request, and refused it only in the last moments of the grace period.

Connections whose request gets no further bytes are now refused with 408 after four checks in a row, at least 0.2 s apart, and closed two such checks after a refusal. Bytes in the parser or the kernel start the count again, and so does a wait for room. Checks are counted rather than time, so that a pause of the event loop is no stall.

A body that arrives in parts 0.25 s apart during a stop is answered, also while the event loop stands still for 0.3 and 0.6 s at a time. These tests fail if received bytes are not counted; the one of a body that waits for room fails if waits are not.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -201,6 +201,8 @@
         """Rest of an answer that is not yet in the write buffer."""
         self.refusal: RefusedRequestError | None = None
         """Why the request that is being read is refused, if it is."""
+        self.received_bytes = 0
+        self.stall_detector = endings.StallDetector()
         self.discarded_bytes = 0
         self.is_discarding = False
         self.end_reason = ""
@@ -231,6 +233,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Receive bytes; pause if the caller pipelines too many."""
+        self.received_bytes += nbytes
         if self.is_discarding:
             self.discarded_bytes += nbytes
             if self.discarded_bytes > MAX_LINGER_BYTES:
@@ -295,17 +298,34 @@
         """Return whether another request may follow the one being served."""
         return self._count_unparsed() > 0 or endings.has_unread(self.transport)
 
+    @property
+    def phase(self) -> intake_module.Phase:
+        """What the connection does, also if it has no account."""
+        if self.is_discarding:
+            return intake_module.Phase.REFUSED
+        return self.account.phase
+
     def may_end(self, rule: endings.Rule) -> bool:
         """Return whether a rule may end the connection now."""
-        phase = self.account.phase
-        if self.is_discarding:
-            phase = intake_module.Phase.REFUSED
         return endings.may_end(
             rule,
-            phase,
+            self.phase,
             has_unseen_bytes=self.has_unseen_bytes(),
         )
 
+    def end_if_stalled(self) -> None:
+        """Refuse a request that ceases to arrive, or close after a refusal."""
+        action = self.stall_detector.check(
+            self.phase,
+            self.received_bytes,
+            time.monotonic(),
+            is_waiting=self.intake.is_held_up(self.account) or self.is_in_use(),
+        )
+        if action is endings.Action.REFUSE:
+            self.refuse(intake_module.Reason.SLOW)
+        elif action is endings.Action.CLOSE:
+            self.transport.close()
+
     # Calls of the intake.
 
     def resume(self) -> None:
@@ -586,6 +606,7 @@
     async def _linger(self) -> None:
         """Discard what the caller still sends, until it has the answer."""
         self.is_discarding = True
+        self.data_arrived.clear()
         self.http = h11.Connection(h11.SERVER)
         self.intake.release(self.account)
         self.intake.enter(self.account, intake_module.Phase.REFUSED)
@@ -735,10 +756,15 @@
         task.add_done_callback(self.adopting.discard)
 
     def close_idle(self) -> None:
-        """Close connections on which no request can wait."""
+        """Close connections on which no request can wait.
+
+        Those on which a request has ceased to arrive are refused first.
+        """
         for connection in list(self.connections):
             if connection.may_end(endings.Rule.STOP):
                 connection.transport.close()
+            else:
+                connection.end_if_stalled()
 
     async def drain(self, end_s: float) -> None:
         """Close connections as their requests end, until then at most."""
--- a/src/flamingocleat/connection/intake.py
+++ b/src/flamingocleat/connection/intake.py
@@ -450,8 +450,12 @@
                 account.strikes = 0
                 account.peer.refuse(Reason.SLOW)
 
+    def is_held_up(self, account: Account) -> bool:
+        """Return whether a connection reads nothing until there is room."""
+        return account in self.queue or account in self.paused
+
     def _has_stalled(self, account: Account) -> bool:
-        waits = account in self.queue or account in self.paused
+        waits = self.is_held_up(account)
         asked = MIN_PROGRESS_BYTES if account.reserved else 1
         moves = account.moved >= asked
         account.moved = 0
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -1,12 +1,14 @@
 """Requests and answers in progress as a rule ends their connections."""
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
 
 import pytest
 
+from flamingocleat.connection import endings
 from flamingocleat.connection import http
 from flamingocleat.connection import intake as intake_module
 from tests.direct import test_cut_answers as cut_answers
@@ -298,3 +300,80 @@
         assert time.monotonic() - began_s < waiting.DRAIN_S / 2
 
     waiting.run_scenario(scenario)
+
+
+PARTS = 8
+PART_INTERVAL_S = 0.25
+
+
+def send_slowly(caller: socket.socket) -> None:
+    """Send a request whose body takes longer than a stalled one may."""
+    caller.send(b"POST /x HTTP/1.1\r\nHost: h\r\n")
+    caller.send(f"Content-Length: {PARTS}\r\n\r\n".encode())
+    for _ in range(PARTS):
+        time.sleep(PART_INTERVAL_S)
+        with contextlib.suppress(OSError):
+            caller.send(b"x")
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.3, 0.6])
+def test_body_that_arrives_slowly_is_answered_at_a_stop(pause_s):
+    """Guards against a refusal of a request whose bytes keep arriving."""
+
+    async def scenario(server):
+        caller = server.connect()
+        thread = threading.Thread(target=send_slowly, args=(caller,))
+        thread.start()
+        await asyncio.sleep(0.05)
+        draining = asyncio.create_task(server.drain())
+        while not draining.done():
+            time.sleep(pause_s)  # The event loop stands still.
+            await asyncio.sleep(waiting.POLL_S)
+        thread.join()
+        assert await waiting.read(caller) == STATUS_LINE
+
+    waiting.run_scenario(scenario)
+
+
+def test_pause_of_the_event_loop_does_not_count_as_a_stall():
+    """Guards against a refusal for which only the time has passed."""
+    detector = endings.StallDetector()
+    phase = intake_module.Phase.BODY
+    actions = [
+        detector.check(phase, 1, now_s, is_waiting=False)
+        for now_s in (0.0, 10.0, 10.01, 10.02, 20.0, 30.0, 30.1)
+    ]
+    assert actions == [None] * len(actions)
+    assert detector.check(phase, 1, 40.0, is_waiting=False) is not None
+
+
+def test_body_that_waits_for_room_is_answered_at_a_stop():
+    """Guards against a refusal of a caller that this process holds up."""
+    size = intake_module.FREE_BODY_BYTES + 1
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % size
+
+    async def scenario(server):
+        release = asyncio.Event()
+
+        async def hold(exchange):
+            await release.wait()
+            await exchange.respond(200, [], b"done")
+
+        server.http.handle = hold
+        first = server.connect()
+        first.send(head + b"\r\n")
+        await asyncio.get_running_loop().sock_sendall(first, b"x" * size)
+        await asyncio.sleep(0.05)
+        second = server.connect()
+        second.send(head + b"Expect: 100-continue\r\n\r\n")
+        await asyncio.sleep(0.05)
+        assert server.http.intake.queue
+        draining = asyncio.create_task(server.drain())
+        await asyncio.sleep(1.5)
+        release.set()
+        assert await waiting.read(second) == b"HTTP/1.1 100 "
+        await asyncio.get_running_loop().sock_sendall(second, b"x" * size)
+        assert await waiting.read(second) == STATUS_LINE
+        await draining
+
+    waiting.run_scenario(scenario, intake_module.Settings(body_bytes=size))
