Answer operators' requests that wait as control stops

Operators whose request waited to be accepted, had not been read or had come in part as a voter of control stopped saw a reset, and could not know whether their change had been made.

Cause: the operators' server was plain cheroot, whose stop closes its listener and its connections without a look at what waits on them.

It is a threaded.Server now, like those of entries and agents. All five tests of tests/test_operators_stop.py failed before and pass now. A stop with one silent caller takes up to the 10 s of the socket timeout, as before: 9.81 s measured with each server.

--- a/src/flamingocleat/process/operators.py
+++ b/src/flamingocleat/process/operators.py
@@ -18,12 +18,12 @@
 import typing
 import uuid
 
-import cheroot.wsgi
 import cherrypy
 import msgspec
 
 from flamingocleat import errors
 from flamingocleat import ids
+from flamingocleat.connection import threaded
 from flamingocleat.process import api_documents
 from flamingocleat.process import consensus as consensus_module
 from flamingocleat.process import health as health_module
@@ -604,7 +604,7 @@
     return wsgi_app
 
 
-class _Server(cheroot.wsgi.Server):
+class _Server(threaded.Server):
     """HTTP server that logs its errors as key=value lines."""
 
     def error_log(
