--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -188,7 +188,10 @@
             busy=self.server.busy,
             requests=self.forwarder.open_requests.names(),
         )
-        while self.server.busy and time.monotonic() < end_s:
+        is_over = False
+        while self.server.busy and not is_over:
+            # After a pause of the event loop, the last answers are due too.
+            is_over = time.monotonic() >= end_s
             await asyncio.sleep(IDLE_POLL_S)
             self._run_step("idle", self.server.close_idle)
             if time.monotonic() >= end_s - ANSWER_MARGIN_S:
--- a/tests/direct/test_gateway_stop.py
+++ b/tests/direct/test_gateway_stop.py
@@ -143,6 +143,38 @@
     run_scenario(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("before_end_s", [0.21, 0.22, 0.23, 0.24, 0.25])
+def test_last_answers_of_a_stop_outlast_a_pause_of_the_event_loop(
+    monkeypatch, before_end_s
+):
+    """Guards against callers that are cut as a drain ends by the time alone."""
+
+    async def scenario(program):
+        await program.add(hang)
+        request = asyncio.create_task(
+            program.request("/once/x", X_Request_Timeout_Ms="9000")
+        )
+        await asyncio.sleep(0.1)
+        began_s = time.monotonic()
+        stopping = asyncio.create_task(program.stop())
+        end_s = GRACE_S - gateway.GRACE_MARGIN_S
+        await asyncio.sleep(end_s - before_end_s)
+        time.sleep(0.4)
+        with logbook.TestHandler().applicationbound() as handler:
+            await stopping
+        (line,) = [
+            record.message
+            for record in handler.records
+            if "drain_finished" in record.message
+        ]
+        assert "busy=0" in line
+        reply = await request
+        assert (reply.status, reply.is_complete) == (504, True)
+        assert time.monotonic() - began_s < GRACE_S
+
+    run_scenario(monkeypatch, scenario)
+
+
 class FakeCall:
     """A call in flight, as far as a stop concerns it."""
 
