Judge calls at their timeout, and let crowds hold idle connections

Calls that timed out without an answer or a close were not judged. Rule CONFIG bounds the calls of gateways in contact that have no answer half a second after their route's timeout: at most half of those at their timeout, and at most a quarter from eight on. The watch counts them; kills, starts, stops and freezes of the gateway or of a coordinator excuse them, reloads, servers and links to servers do not. A close ends an answer that has begun and counts as no answer otherwise.

crowd_connections keeps a gateway at its bound on connections, most of them idle; close_sending_sides counts, without judging, how many callers that close only their sending side get an answer.

--- a/tests/platform/answer_watch.py
+++ b/tests/platform/answer_watch.py
@@ -2,9 +2,9 @@
 
 A stop, a reload or a change of the configuration cuts no request that was read.
 At any time, a gateway in contact ends few connections whose request it has
-passed on to a sound server. Each call is compared with the signals that its
-gateway got, with what backend servers did with it, and with the closing lines
-of the gateway's log.
+passed on to a sound server, and answers those that reach their route's timeout.
+Each call is compared with the signals that its gateway got, with what backend
+servers did with it, and with the closing lines of the gateway's log.
 """
 
 import asyncio
@@ -37,6 +37,12 @@
 LOSS_SLACK_S = 0.2
 """Time within which a request that nobody read may cross a close."""
 DEADLINE_S = 4.0
+"""Deadline of each call and timeout of each route."""
+ANSWER_SLACK_S = 0.5
+"""Time after its route's timeout within which a call needs an answer."""
+MIN_OVERDUE = 8
+"""Overdue calls of a run from which on a quarter of those at their timeout
+suffices for a violation in place of one half."""
 LATE_FRACTION = 0.7
 """Part of its time after which a call may be cut beside a change."""
 DEADLINE_SLACK_S = 0.1
@@ -49,6 +55,8 @@
 sound server, with no planned work beside."""
 PLANNED = (signal.SIGTERM, signal.SIGHUP)
 ENDS = (signal.SIGTERM, signal.SIGKILL)
+STOPS = (*ENDS, signal.SIGSTOP, signal.SIGCONT)
+"""Signals that take a program out of contact."""
 CLOSING_LINE = re.compile(
     r"event=(?:request_ended|request_refused) .*?\brequest=(\S+)"
 )
@@ -77,6 +85,10 @@
     ended_s: float = float("inf")
     outcome: Outcome = Outcome.OPEN
     detail: str = ""
+    head_s: float = float("inf")
+    """When the head of the answer came."""
+    half_closes: bool = False
+    """Whether the caller closed its sending side after the request."""
 
     @contextlib.contextmanager
     def record_end(self) -> collections.abc.Iterator[None]:
@@ -103,6 +115,22 @@
             for at_s in faults_s
         )
 
+    @property
+    def answer_due_s(self) -> float:
+        """When its answer is overdue."""
+        return self.sent_s + DEADLINE_S + ANSWER_SLACK_S + 2 * self.link_s
+
+    @property
+    def is_overdue(self) -> bool:
+        """Return whether it got no answer in time.
+
+        A close ends an answer that has begun, but is no answer itself.
+        """
+        is_answered = (
+            self.outcome is Outcome.ANSWERED or self.head_s < self.ended_s
+        )
+        return not is_answered or self.ended_s > self.answer_due_s
+
 
 class Run(msgspec.Struct):
     """A call at a backend server."""
@@ -133,6 +161,8 @@
         self.lost: list[str] = []
         """Calls that ended without an answer although a sound server had got
         them and no planned work or fault of the gateway stood beside."""
+        self.overdue: list[str] = []
+        """Calls that got no answer in time from a gateway in contact."""
 
     def _violate(self, detail: str) -> None:
         self.soak.invariants.record_violation(
@@ -170,7 +200,11 @@
                         f"{request_id}: {count} closing lines of {gateway.node}"
                     )
         for request_id, call in self.soak.calls.items():
+            if call.half_closes:
+                self.counts[f"half_closed_{call.outcome.name.lower()}"] += 1
+                continue
             self.counts[call.outcome.name.lower()] += 1
+            self._check_overdue(request_id, call)
             if call.outcome is Outcome.CUT:
                 self._check_cut(request_id, call, lines)
                 self._check_lost(request_id, call)
@@ -179,6 +213,7 @@
             self.soak.invariants.record_violation(
                 "calls at sound servers are answered", "; ".join(self.lost)
             )
+        self._check_overdue_fraction()
 
     def _gateway_of(self, call: Call) -> "soak_module.Program | None":
         for each in self.soak.gateways:
@@ -260,6 +295,52 @@
             f"{call.detail}"
         )
 
+    def _check_overdue(self, request_id: str, call: Call) -> None:
+        """Count a call that reached its timeout at a gateway in contact."""
+        gateway = self._gateway_of(call)
+        if (
+            gateway is None
+            or call.outcome is Outcome.CANCELLED
+            or call.ended_s < call.sent_s + DEADLINE_S
+        ):
+            return
+        from_s = call.sent_s - CONTACT_S
+        disturbed = (
+            at_s
+            for program in (gateway, *self.soak.coordinators)
+            for at_s in (
+                *program.disturbed_s,
+                *program.start_times_s,
+                *(at_s for at_s, number in program.signals if number in STOPS),
+            )
+        )
+        if any(from_s <= at_s <= call.answer_due_s for at_s in disturbed):
+            self.counts["due_apart"] += 1
+            return
+        self.counts["due"] += 1
+        if not call.is_overdue:
+            return
+        runs = self.soak.invariants.runs_by_call.get(request_id, [])
+        sound = [run.server.name for run in runs if run.is_sound(call)]
+        self.counts["overdue_sound"] += bool(sound)
+        self.overdue.append(
+            f"{request_id} by {gateway.node} on {call.connection}: "
+            f"{call.outcome.value} {call.ended_s - call.sent_s:.2f} s after it "
+            f"was sent, at {call.ended_s - self.soak.started_s:.2f}; head "
+            f"after {call.head_s - call.sent_s:.2f} s; sound runs at "
+            f"{', '.join(sound) or 'none'} of {len(runs)}; {call.detail}"
+        )
+
+    def _check_overdue_fraction(self) -> None:
+        """Check how many of the calls at their timeout are overdue."""
+        due, overdue = self.counts["due"], len(self.overdue)
+        self.counts["overdue"] = overdue
+        if 2 * overdue > due or (overdue >= MIN_OVERDUE and 4 * overdue > due):
+            self.soak.invariants.record_violation(
+                "calls are answered at their timeout",
+                f"{overdue} of {due} are not: {'; '.join(self.overdue)}",
+            )
+
     def _find_excuse(
         self, call: Call, gateway: "soak_module.Program", runs: list[Run]
     ) -> str:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -26,6 +26,7 @@
 from tests import crowds
 from tests.platform import answer_watch
 from tests.platform import config_watch
+from tests.platform import connection_faults
 from tests.platform import control_faults  # noqa: F401 (registers faults)
 from tests.platform import emulator
 from tests.platform import faults as faults_module
@@ -141,6 +142,8 @@
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
         """Number of lifetimes."""
+        self.start_times_s: list[float] = []
+        """When each lifetime began."""
         self.disk_delay = self.folder / "disk-delay"
         """A file that holds the time that a sync takes, if it exists."""
         self.synced = self.folder / "synced"
@@ -190,6 +193,7 @@
         path = self.folder / "boot.json"
         path.write_text(json.dumps(boot))
         self.starts += 1
+        self.start_times_s.append(time.monotonic())
         with open(self.folder / "log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -273,6 +277,8 @@
         """Time between two reads of an answer."""
         self.link_s = 0.0
         """Latency of the link to the gateway."""
+        self.half_closes = False
+        """Whether it closes its sending side after a whole request."""
         self.model = model
         self.connection: h11.Connection | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -339,13 +345,16 @@
             gateway=self.gateway,
             connection=str(self.writer.get_extra_info("sockname")),
             link_s=self.link_s,
+            half_closes=self.half_closes,
         )
         with call.record_end():
+            if self.half_closes:
+                self.writer.write_eof()
             async with asyncio.timeout(DEADLINE_MS / 1000 + 2):
-                return await self._answer(self.connection)
+                return await self._answer(self.connection, call)
 
     async def _answer(
-        self, connection: h11.Connection
+        self, connection: h11.Connection, call: answer_watch.Call
     ) -> tuple[http.Answer, bytes]:
         answer, body = http.Answer(0, []), b""
         while True:
@@ -355,6 +364,7 @@
                     await asyncio.sleep(self.read_pause_s)
                 connection.receive_data(await self.reader.read(65_536))
             elif isinstance(event, h11.Response):
+                call.head_s = time.monotonic()
                 headers = [(bytes(n), bytes(v)) for n, v in event.headers]
                 answer = http.Answer(event.status_code, headers)
             elif isinstance(event, h11.Data):
@@ -363,7 +373,8 @@
                 break
             else:
                 raise ConnectionError(f"the connection ended: {event!r}")
-        if connection.our_state is h11.DONE is connection.their_state:
+        is_done = connection.our_state is h11.DONE is connection.their_state
+        if is_done and not self.half_closes:
             connection.start_next_cycle()
         else:
             self.close()
@@ -399,6 +410,9 @@
         self.gateways = [
             Program(self, "gateway", n + 1) for n in range(gateways)
         ]
+        if connection_faults.CROWD_FAULT in faults:
+            for gateway in self.gateways:
+                gateway.limits |= connection_faults.CROWDED_LIMITS
         self.voter_links: dict[tuple[int, int], emulator.Proxy] = {}
         """Proxies by the numbers of the calling voter and the called one."""
         self.fleet = emulator.Fleet(self.invariants, self.control, seed)
@@ -1367,13 +1381,13 @@
                 f"broken={len(soak.invariants.violations)}",
                 flush=True,
             )
-            if soak.answer_watch.lost:
-                print("\n".join(soak.answer_watch.lost))
+            findings = [*soak.answer_watch.lost, *soak.answer_watch.overdue]
+            if findings:
+                print("\n".join(findings))
             if soak.invariants.violations:
                 failed += 1
                 print("\n".join([*soak.injected, *soak.invariants.violations]))
-            is_finding = soak.invariants.violations or soak.answer_watch.lost
-            if options.keep and is_finding:
+            if options.keep and (soak.invariants.violations or findings):
                 logs_copy = pathlib.Path(options.keep) / f"seed-{seed}"
                 shutil.copytree(path, logs_copy, dirs_exist_ok=True)
     print(f"{failed} of {options.seeds} seeds broke a promise")
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.platform import connection_faults
 from tests.platform import control_faults
 from tests.platform import lethal_faults
 from tests.platform import limit_faults
@@ -31,6 +32,7 @@
     "return_together",
     "burst",
     "send_crowd",
+    *connection_faults.NEW_FAULTS,
     *control_faults.NEW_FAULTS,
     *limit_faults.NEW_FAULTS,
     *lethal_faults.NEW_FAULTS,
