Leave lose_power out of the faults that older seeds draw from

LATER_FAULTS lists the faults that did not exist as seeds 1, 4 and 8 were found, since a seed draws other faults if there are more to draw from. power_faults was not listed, so that these seeds no longer played what they are kept for.

--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,6 +9,7 @@
 from tests.platform import control_faults
 from tests.platform import lethal_faults
 from tests.platform import limit_faults
+from tests.platform import power_faults
 from tests.platform import soak
 from tests.platform import stop_faults
 
@@ -35,6 +36,7 @@
     *connection_faults.NEW_FAULTS,
     *control_faults.NEW_FAULTS,
     *limit_faults.NEW_FAULTS,
+    *power_faults.NEW_FAULTS,
     *lethal_faults.NEW_FAULTS,
     *stop_faults.NEW_FAULTS,
 }
