Show requests that are reset unread as a burst is refused

Of 32 callers beyond the bound on connections, while all others are busy, 16 get 503 and 16 are reset: above REFUSING_CONNECTIONS, _turn_away aborts.

--- a/tests/direct/test_http_intake.py
+++ b/tests/direct/test_http_intake.py
@@ -219,6 +219,32 @@
     run(scenario)
 
 
+def test_each_caller_of_a_burst_beyond_the_bound_is_answered():
+    """Guards against requests that are reset unread as a burst is refused."""
+    burst = 2 * intake_module.REFUSING_CONNECTIONS
+
+    async def scenario(harness):
+        harness.go_on.clear()
+        busy = [
+            asyncio.create_task(harness.send(*whole(b"y")))
+            for _ in range(SMALL.max_connections)
+        ]
+        await asyncio.sleep(0.3)
+        refusals = await asyncio.gather(
+            *(harness.send(*whole(b"x")) for _ in range(burst)),
+            return_exceptions=True,
+        )
+        harness.go_on.set()
+        await asyncio.gather(*busy)
+        statuses = [
+            each.partition(b"\r\n")[0] if isinstance(each, bytes) else each
+            for each in refusals
+        ]
+        assert statuses == [b"HTTP/1.1 503 "] * burst
+
+    run(scenario)
+
+
 def test_silent_connection_makes_way():
     """Guards against silent connections that keep ordinary callers out."""
 
