Repeat polls whose kept connection the server has closed

Cause: an agent polls its server on a kept connection. Where the server closed that connection as the next request was on its way, the request failed with "Connection reset by peer", and the agent took the server for down until the next poll. Calls were refused with 503 and "not-run" by an agent whose server was sound. That is what test_head_of_a_server_that_is_cut_is_no_answer[engine-no content] saw: its stand-in closes each connection after one answer. The close of an idle connection says nothing about the server.

Change: a request on a reused connection that ends without a byte of an answer is repeated once on a new connection, within the same time limit. All requests of the pool repeat safely: reads, orders with a fencing number and cancellations of one attempt. A failure on a new connection, and an answer that has begun, count as before.

--- a/src/flamingocleat/connection/bounded.py
+++ b/src/flamingocleat/connection/bounded.py
@@ -5,6 +5,8 @@
 of bytes apply to all reads of an answer together.
 """
 
+import collections.abc
+import contextlib
 import http.client
 import io
 import socket
@@ -14,6 +16,8 @@
 
 import urllib3
 import urllib3.connection
+import urllib3.exceptions
+import urllib3.response
 
 MAX_HEAD_BYTES = 65_536
 """Bytes of an answer up to the end of its head, interim answers included."""
@@ -126,9 +130,19 @@
     response_class = _Response
 
 
+class StaleConnectionError(ConnectionError):
+    """A kept connection ended without a byte of the answer to a request.
+
+    A server may close an idle connection as the request is on its way.
+    """
+
+
 class _BoundedConnection(Connection):
     """Connection whose answers are bounded in time and size."""
 
+    is_reused = False
+    """Whether the connection was open before its last request."""
+
     def __init__(
         self,
         *arguments: typing.Any,
@@ -147,10 +161,32 @@
         self._bound_answer()
 
     def request(self, *arguments: typing.Any, **options: typing.Any) -> None:
-        """Send a request, and bound its answer."""
-        if self.sock is not None:
+        """Send a request, and bound its answer; raise StaleConnectionError."""
+        self.is_reused = self.sock is not None
+        if self.is_reused:
             self._bound_answer()
-        super().request(*arguments, **options)
+        with self._stale_detection():
+            super().request(*arguments, **options)
+
+    # urllib3's own override differs from the standard library as well.
+    def getresponse(  # type: ignore[override]
+        self,
+    ) -> urllib3.response.HTTPResponse:
+        """Read the head of the answer; raise StaleConnectionError."""
+        with self._stale_detection():
+            return super().getresponse()
+
+    @contextlib.contextmanager
+    def _stale_detection(self) -> collections.abc.Generator[None]:
+        # The standard library drops the socket on errors.
+        sock = typing.cast(BoundedSocket, self.sock)
+        allowed_bytes = sock.allowed_bytes if self.is_reused else 0
+        try:
+            yield
+        except ConnectionError as error:
+            if self.is_reused and sock.allowed_bytes == allowed_bytes:
+                raise StaleConnectionError(repr(error)) from error
+            raise
 
     def _bound_answer(self) -> None:
         typing.cast(BoundedSocket, self.sock).bound_body(
@@ -172,6 +208,8 @@
     def __init__(
         self, url: str, timeout_s: float, max_answer_bytes: int
     ) -> None:
+        self.url = url
+        self.timeout_s = timeout_s
         parts = urllib.parse.urlsplit(url)
         super().__init__(
             parts.hostname or "",
@@ -189,6 +227,9 @@
     ) -> tuple[int, bytes]:
         """Make one request; return the status and body of its answer.
 
+        The request must be safe to repeat: it is repeated on a new connection
+        if the server has closed a kept one.
+
         Args:
             method: Method of the request.
             path: Path of the request.
@@ -198,6 +239,22 @@
             urllib3.exceptions.HTTPError: There is no answer within the bounds.
             EndlessAnswerError: The body is larger than allowed.
         """
+        deadline_s = time.monotonic() + self.timeout_s
+        try:
+            return self._ask(method, path, fields)
+        except urllib3.exceptions.ProtocolError as error:
+            if not any(
+                isinstance(cause, StaleConnectionError) for cause in error.args
+            ):
+                raise
+        # Another thread may return a stale connection to this pool meanwhile.
+        remaining_s = max(0.001, deadline_s - time.monotonic())
+        with Pool(self.url, remaining_s, self.max_answer_bytes) as pool:
+            return pool._ask(method, path, fields)
+
+    def _ask(
+        self, method: str, path: str, fields: typing.Any
+    ) -> tuple[int, bytes]:
         response = self.request(
             method,
             path,
