Close what a failed set-up has started, and tell why an agent is missing

Cause: the fixture of test_faulty_answers ended its agents and its stand-in only after a set-up that succeeded. After one that failed, the next test was blamed for the process ("subprocess N is still running"), and the failure did not say whether the agent had ended.

Change: the fixture registers each part for closing as it is made. A wait for an agent that fails names each agent's exit status and last log line.

--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -30,16 +30,21 @@
 
 
 def wait_until(
-    condition: collections.abc.Callable[[], typing.Any], what: str
+    condition: collections.abc.Callable[[], typing.Any],
+    what: str,
+    describe: collections.abc.Callable[[], str] = str,
 ) -> typing.Any:
-    """Return the condition's value once it is true; fail after TIMEOUT_S."""
+    """Return the condition's value once it is true; fail after TIMEOUT_S.
+
+    The failure ends with the description of what was found instead.
+    """
     deadline_s = time.monotonic() + TIMEOUT_S
     while time.monotonic() < deadline_s:
         value = condition()
         if value:
             return value
         time.sleep(0.02)
-    raise AssertionError(f"did not happen: {what}")
+    raise AssertionError(f"did not happen: {what}{describe()}")
 
 
 class FakeControl:
@@ -55,6 +60,8 @@
         self.sessions = 0
         self.silent = False
         self.conclude_failures = 0
+        self.describe_agents: collections.abc.Callable[[], str] = str
+        """Describes the agents in failures of waits."""
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
         self.thread.start()
@@ -104,7 +111,11 @@
         )
 
     def member(self, vm: str) -> messages.Member:
-        status = wait_until(lambda: self.statuses.get(vm), f"{vm} announces")
+        status = wait_until(
+            lambda: self.statuses.get(vm),
+            f"{vm} announces",
+            self.describe_agents,
+        )
         return messages.Member(
             status.vm, status.incarnation, status.control_address
         )
@@ -133,6 +144,7 @@
                 and status
             ),
             f"{vm} serves under {fence}",
+            self.describe_agents,
         )
 
     def stop(self) -> None:
@@ -175,6 +187,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
         self.control = FakeControl()
+        self.control.describe_agents = self._describe_agents
         self.processes: list[Process] = []
         self.agents: dict[str, Process] = {}
         self.files: dict[str, pathlib.Path] = {}
@@ -239,6 +252,15 @@
         self.agents[vm] = process
         return process
 
+    def _describe_agents(self) -> str:
+        """Return the exit status and the last log line of each agent."""
+        lines = []
+        for vm, process in self.agents.items():
+            log = (self.folder / f"{vm}.log").read_text().splitlines()
+            status = process.child.poll()
+            lines.append(f"\n{vm}: exit status {status}, {log[-1:]}")
+        return "".join(lines)
+
     def start_group(self, fence: int, *vms: str) -> messages.AgentStatus:
         """Start a group with an engine on each VM; return the lead's status."""
         for vm in vms:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import signal
+import socket
 import time
 
 import pytest
@@ -519,3 +520,17 @@
         assert reports.complete > 1
     finally:
         reports.stop()
+
+
+def test_agent_that_does_not_start_is_reported_with_its_reason(
+    deployment, monkeypatch
+):
+    """Guards against set-ups that fail without a trace of the cause."""
+    monkeypatch.setattr(agent_support, "TIMEOUT_S", 3.0)
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        deployment.start_agent("vm-1", "127.0.0.1:1", data_listen=address)
+        with pytest.raises(AssertionError) as error_info:
+            deployment.control.member("vm-1")
+    assert "exit status 1" in str(error_info.value)
+    assert "Address already in use" in str(error_info.value)
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -4,6 +4,7 @@
 event of its own, so that one which ends early or skips its end is noticed.
 """
 
+import contextlib
 import http.client
 import json
 
@@ -144,10 +145,15 @@
 class Server:
     """A scripted backend server and its agent."""
 
-    def __init__(self, agents: agent_support.Deployment, kind: str) -> None:
+    def __init__(
+        self,
+        agents: agent_support.Deployment,
+        canned: agent_support.CannedServer,
+        kind: str,
+    ) -> None:
         self.agents = agents
+        self.canned = canned
         self.kind = kind
-        self.canned = agent_support.CannedServer(b"", STATUS_CHECKS)
         agents.start_agent("vm-1", self.canned.address, kind=kind)
         if kind == "engine":
             agents.control.assign(5, ["vm-1"])
@@ -167,11 +173,12 @@
 
 @pytest.fixture
 def server(tmp_path, request):
-    agents = agent_support.Deployment(tmp_path)
-    scripted = Server(agents, request.param)
-    yield scripted
-    scripted.canned.stop()
-    agents.close()
+    with contextlib.ExitStack() as stack:
+        agents = agent_support.Deployment(tmp_path)
+        stack.callback(agents.close)
+        canned = agent_support.CannedServer(b"", STATUS_CHECKS)
+        stack.callback(canned.stop)
+        yield Server(agents, canned, request.param)
 
 
 @pytest.mark.parametrize("name", HEADS)
