Draw the same faults of a seed of the soak at any speed

Cause: the faults and the details of the run were drawn from one generator, and how many details are drawn before and between faults depends on timing. Ten runs of seed 700 (test_servers_that_name_a_limit_get_no_more) gave ten logs with eight different orders; one of them had no name_limits at all, and limits_checked was 0. That is expected: of 100,000 seeds, 10.2% draw no name_limits from these four faults in 8 s. A name_limits that was drawn was checked for five servers in each other run, so that the test's check is right, and the load is no cause beyond the changed order.

Change: the faults and the times between them come from a generator of their own, which has the plain seed; all else comes from another one. A new test asserts that the seeds of the four tests that need a fault draw it in the first half of their run. Checks, bounds, seeds, the faults and their chances are as before; a seed draws other faults than it did.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -389,7 +389,9 @@
         self.programs = programs
         """Checkout whose programs are run."""
         self.faults = faults
-        self.random = random.Random(seed)
+        self.random = random.Random(f"{seed} details")
+        """Decides all but the order of the faults. Its draws interleave with
+        the timing of the run."""
         self.net, self.net_lock = reserve_net()
         self.folder = folder
         self.invariants = emulator.InvariantLog()
@@ -483,12 +485,13 @@
             await self._wait_until_served("the first service")
             end_s = time.monotonic() + duration_s
             running: set[asyncio.Task] = set()
-            while time.monotonic() < end_s:
-                name = self.random.choice(sorted(self.faults))
+            for name, wait_s in faults_module.draw(self.seed, self.faults):
                 at_s = time.monotonic() - self.started_s
                 self.injected.append(f"{at_s:.2f} {name}")
                 running.add(asyncio.create_task(self.faults[name](self)))
-                await asyncio.sleep(self.random.uniform(0.1, 2.0))
+                await asyncio.sleep(wait_s)
+                if time.monotonic() >= end_s:
+                    break
             self._record_failures(
                 await asyncio.gather(*running, return_exceptions=True)
             )
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.platform import control_faults
+from tests.platform import faults as faults_module
 from tests.platform import lethal_faults
 from tests.platform import limit_faults
 from tests.platform import soak
@@ -63,6 +64,19 @@
     "callers in the queue of a starting gateway reset",
 }
 DURATION_S = 8.0
+NEEDED_FAULTS = [
+    *(
+        (seed, COLD_FAULTS, {"return_together"})
+        for seed in SEEDS_OF_COLD_FAULTS
+    ),
+    *((seed, LIMIT_FAULTS, {"name_limits"}) for seed in SEEDS_OF_LIMIT_FAULTS),
+    *(
+        (seed, LETHAL_FAULTS, lethal_faults.NEW_FAULTS)
+        for seed in SEEDS_OF_LETHAL_FAULTS
+    ),
+    *((seed, STOP_FAULTS, {"stop_in_series"}) for seed in SEEDS_OF_STOP_FAULTS),
+]
+"""Seeds, the faults that they draw from and those that their test checks."""
 
 
 def check(result: soak.Soak) -> None:
@@ -71,6 +85,17 @@
     assert result.acknowledged > 0
 
 
+@pytest.mark.parametrize(("seed", "drawn_from", "needed"), NEEDED_FAULTS)
+def test_seed_draws_the_faults_that_its_test_needs(seed, drawn_from, needed):
+    """Guards against runs that inject nothing that their test checks."""
+    at_s = 0.0
+    for name, wait_s in faults_module.draw(seed, drawn_from):
+        if name in needed or at_s > DURATION_S:
+            break
+        at_s += wait_s
+    assert at_s < DURATION_S / 2
+
+
 @pytest.mark.parametrize("seed", sorted(SEEDS))
 def test_soak_violates_no_guarantee(tmp_path, seed):
     """Guards against guarantees broken by faults of processes and links.
