Refuse each caller above the bound on connections with an answer

While 16 connections above the bound were being refused, further ones were reset unread: 15 callers of a crowd in the soak, and 16 of 32 in a test that failed before. What they have sent is read now, they get 503, and their connections close without the wait for what may still come, so that no more of them are open at once than the event loop accepts in a few steps.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -53,6 +53,8 @@
 """Time for which a caller may accept no bytes."""
 DRAIN_POLL_S = 0.02
 """Interval between checks for unfinished requests while draining."""
+ARRIVAL_STEPS = 3
+"""Steps of the event loop in which the first bytes of a connection are read."""
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
 MAX_ANSWER_BYTES = 4_194_304
@@ -382,14 +384,18 @@
 
     async def _turn_away(self) -> None:
         """Refuse a connection for which there is no room."""
+        refusal = _no_room("too many connections")
         try:
             if self.server.begin_refusing():
                 try:
-                    await self._refuse(_no_room("too many connections"))
+                    await self._refuse(refusal)
                 finally:
                     self.server.refusing -= 1
             else:
-                self.transport.abort()
+                # Bytes that are unread at the close would reset the answer.
+                for _ in range(ARRIVAL_STEPS):
+                    await asyncio.sleep(0)
+                self._write_refusal(refusal)
         finally:
             self.transport.close()
 
@@ -586,6 +592,13 @@
     async def _refuse(
         self, error: h11.RemoteProtocolError | RefusedRequestError
     ) -> None:
+        if self._write_refusal(error):
+            await self._linger()
+
+    def _write_refusal(
+        self, error: h11.RemoteProtocolError | RefusedRequestError
+    ) -> bool:
+        """Refuse a request; return False if an answer has begun."""
         status = (
             error.status
             if isinstance(error, RefusedRequestError)
@@ -594,7 +607,7 @@
         logs.info(_log, "request_refused", status=status, reason=str(error))
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.abort()
-            return
+            return False
         body = f"{error}\n".encode()
         headers = [
             ("content-type", "text/plain"),
@@ -606,7 +619,7 @@
         self.write(h11.Response(status_code=status, headers=headers))
         self.write(h11.Data(data=body))
         self.write(h11.EndOfMessage())
-        await self._linger()
+        return True
 
     async def _linger(self) -> None:
         """Discard what the caller still sends, until it has the answer."""
