Judge no whole answer of the soak by when a slow reader has read it

Of slow readers with a whole answer, the head must have come in time; without one, nothing is excused.

--- a/tests/platform/answer_watch.py
+++ b/tests/platform/answer_watch.py
@@ -89,6 +89,8 @@
     """When the head of the answer came."""
     half_closes: bool = False
     """Whether the caller closed its sending side after the request."""
+    reads_slowly: bool = False
+    """Whether the caller itself decides when a whole answer ends."""
 
     @contextlib.contextmanager
     def record_end(self) -> collections.abc.Iterator[None]:
@@ -124,8 +126,11 @@
     def is_overdue(self) -> bool:
         """Return whether it got no answer in time.
 
-        A close ends an answer that has begun, but is no answer itself.
+        A close ends an answer that has begun, but is no answer itself. When a
+        slow reader has read a whole answer says nothing about the gateway.
         """
+        if self.reads_slowly and self.outcome is Outcome.ANSWERED:
+            return self.head_s > self.answer_due_s
         is_answered = (
             self.outcome is Outcome.ANSWERED or self.head_s < self.ended_s
         )
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -346,6 +346,7 @@
             connection=str(self.writer.get_extra_info("sockname")),
             link_s=self.link_s,
             half_closes=self.half_closes,
+            reads_slowly=self.read_pause_s > 0,
         )
         with call.record_end():
             if self.half_closes:
--- a/tests/platform/test_answer_watch.py
+++ b/tests/platform/test_answer_watch.py
@@ -95,6 +95,18 @@
         (make_call(4.2, Outcome.CUT, head_s=11.0), False),
         (make_call(6.0, Outcome.TIMED_OUT), True),
         (make_call(6.0, Outcome.TIMED_OUT, head_s=11.0), True),
+        (
+            make_call(4.6, Outcome.ANSWERED, head_s=11.0, reads_slowly=True),
+            False,
+        ),
+        (
+            make_call(4.6, Outcome.ANSWERED, head_s=14.6, reads_slowly=True),
+            True,
+        ),
+        (
+            make_call(6.0, Outcome.TIMED_OUT, head_s=11.0, reads_slowly=True),
+            True,
+        ),
     ],
 )
 def test_call_at_its_timeout_needs_an_answer(call, is_overdue):
