--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -392,7 +392,8 @@
                 finally:
                     self.server.refusing -= 1
             else:
-                # Bytes that are unread at the close would reset the answer.
+                # Bytes that are unread at the close would reset the answer. The
+                # line `callers_refused` counts these callers.
                 for _ in range(ARRIVAL_STEPS):
                     await asyncio.sleep(0)
                 self._write_refusal(refusal)
@@ -592,6 +593,12 @@
     async def _refuse(
         self, error: h11.RemoteProtocolError | RefusedRequestError
     ) -> None:
+        logs.info(
+            _log,
+            "request_refused",
+            status=_status_of(error),
+            reason=str(error),
+        )
         if self._write_refusal(error):
             await self._linger()
 
@@ -599,12 +606,7 @@
         self, error: h11.RemoteProtocolError | RefusedRequestError
     ) -> bool:
         """Refuse a request; return False if an answer has begun."""
-        status = (
-            error.status
-            if isinstance(error, RefusedRequestError)
-            else error.error_status_hint
-        )
-        logs.info(_log, "request_refused", status=status, reason=str(error))
+        status = _status_of(error)
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.abort()
             return False
@@ -644,6 +646,12 @@
         raise RefusedRequestError(413, "the body is too large")
 
 
+def _status_of(error: h11.RemoteProtocolError | RefusedRequestError) -> int:
+    if isinstance(error, RefusedRequestError):
+        return error.status
+    return error.error_status_hint
+
+
 def _no_room(reason: str) -> RefusedRequestError:
     return RefusedRequestError(503, reason)
 
