End no takeover for half an event of its silent head

Bytes of the head that are no whole event ended the takeover, as if the head went on; the head that breaks off within an event sends just such bytes.

Only a whole event counts now.

--- a/src/flamingocleat/request/direct_stream.py
+++ b/src/flamingocleat/request/direct_stream.py
@@ -119,10 +119,12 @@
         The first event of another attempt than before ends that one, so that
         the caller gets the events of one answer at a time.
         """
+        goes_on = any(event.has_fields for event in found)
         if self.owner is attempt:
-            self._keep_owner(attempt)
+            if goes_on:
+                self._keep_owner(attempt)
             return self.received.add(found, content_type)
-        if not any(event.has_fields for event in found):
+        if not goes_on:
             return []
         received = copy.copy(self.received)
         received.begin_answer(content_type)
--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -11,6 +11,7 @@
 from flamingocleat.connection import endings
 from flamingocleat.connection import http
 from flamingocleat.connection import intake as intake_module
+from tests.direct import support
 from tests.direct import test_cut_answers as cut_answers
 from tests.direct import test_gateway_stop as stops
 from tests.direct import test_waiting_requests as waiting
@@ -377,3 +378,28 @@
         await draining
 
     waiting.run_scenario(scenario, intake_module.Settings(body_bytes=size))
+
+
+def test_half_an_event_of_a_silent_head_ends_no_takeover(monkeypatch):
+    """Guards against a stream lost as its first head breaks off."""
+
+    async def break_off_within_an_event(received):
+        await received.send_events(1, 4, end=False)
+        await asyncio.sleep(0.7)
+        await received.send(support.chunk(support.event(5)[:6]))
+        await asyncio.sleep(0.05)
+        received.closed = True
+
+    async def begin_late(received):
+        await asyncio.sleep(0.6)
+        first = int(received.headers.get("last-event-id", 0)) + 1
+        await received.send_events(first, 10)
+
+    async def scenario(program):
+        await program.add(break_off_within_an_event, "llm")
+        await program.add(begin_late, "llm")
+        reply = await program.request("/stream/x", "POST")
+        await program.stop()
+        assert (reply.status, reply.is_complete) == (200, True)
+
+    stops.run_scenario(monkeypatch, scenario)
