--- a/tests/direct/test_endings.py
+++ b/tests/direct/test_endings.py
@@ -238,36 +238,48 @@
     waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
 
 
+async def leave_answer_unsent(server, body: bytes) -> socket.socket:
+    """Return a caller that has read nothing of an answer with this body."""
+
+    async def answer(exchange):
+        exchange.connection.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+        )
+        await exchange.respond(200, [], body)
+
+    server.http.handle = answer
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    server.callers.enter_context(caller)
+    caller.connect(server.address)
+    caller.setblocking(False)
+    caller.send(REQUEST)
+    await asyncio.sleep(0.05)
+    (connection,) = server.http.connections
+    assert connection.transport.get_write_buffer_size()
+    return caller
+
+
+async def receive(caller: socket.socket, body: bytes) -> None:
+    """Read an answer until its body has come."""
+    loop = asyncio.get_running_loop()
+    received = b""
+    async with asyncio.timeout(waiting.TIMEOUT_S):
+        while not received.endswith(body):
+            data = await loop.sock_recv(caller, 65_536)
+            assert data
+            received += data
+
+
 def test_connection_with_an_answer_that_is_not_sent_yet_does_not_make_way():
     """Guards against a truncated answer at the bound on connections."""
     body = b"x" * 14_000
 
     async def scenario(server):
-        async def answer(exchange):
-            exchange.connection.transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
-            )
-            await exchange.respond(200, [], body)
-
-        server.http.handle = answer
-        caller = socket.socket()
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-        server.callers.enter_context(caller)
-        caller.connect(server.address)
-        caller.setblocking(False)
-        caller.send(REQUEST)
-        await asyncio.sleep(0.05)
-        (connection,) = server.http.connections
-        assert connection.transport.get_write_buffer_size()
+        caller = await leave_answer_unsent(server, body)
         server.connect().send(REQUEST)
         await asyncio.sleep(0.05)
-        loop = asyncio.get_running_loop()
-        received = b""
-        async with asyncio.timeout(waiting.TIMEOUT_S):
-            while not received.endswith(body):
-                data = await loop.sock_recv(caller, 65_536)
-                assert data
-                received += data
+        await receive(caller, body)
 
     waiting.run_scenario(scenario, intake_module.Settings(max_connections=1))
 
--- a/tests/direct/test_review_of_endings.py
+++ b/tests/direct/test_review_of_endings.py
@@ -17,6 +17,7 @@
 from tests import cluster as cluster_module
 from tests.direct import support
 from tests.direct import test_cut_answers as cut_answers
+from tests.direct import test_endings as endings
 from tests.direct import test_gateway_stop as stops
 from tests.direct import test_waiting_requests as waiting
 
@@ -150,20 +151,27 @@
     support.run_scenario(scenario)
 
 
+async def pause(received):
+    await received.send_events(1, 4, end=False)
+    await received.wait_until_closed()
+
+
+async def begin_stream(harness) -> asyncio.Task[support.Reply]:
+    """Begin a stream at a head that pauses; add another head then."""
+    first = await harness.add(pause, "llm")
+    request = asyncio.create_task(harness.request("/stream/x", "POST"))
+    while not first.received:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    await harness.add(pause, "llm")
+    return request
+
+
 def test_takeover_that_is_cancelled_before_it_runs_releases_its_slot():
     """Guards against slots that stay taken for good."""
 
-    async def pause(received):
-        await received.send_events(1, 4, end=False)
-        await received.wait_until_closed()
-
     async def scenario(harness):
-        first = await harness.add(pause, "llm")
-        request = asyncio.create_task(harness.request("/stream/x", "POST"))
-        while not first.received:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(0.1)
-        await harness.add(pause, "llm")
+        request = await begin_stream(harness)
         (attempt,) = harness.candidate(0).attempts
         (connection,) = harness.server.connections
         # The wake-up of the serving task is due before the takeover's.
@@ -179,17 +187,8 @@
 def test_takeover_without_a_retry_left_takes_no_slots():
     """Guards against customers that are charged for slots they do not get."""
 
-    async def pause(received):
-        await received.send_events(1, 4, end=False)
-        await received.wait_until_closed()
-
     async def scenario(harness):
-        first = await harness.add(pause, "llm")
-        request = asyncio.create_task(harness.request("/stream/x", "POST"))
-        while not first.received:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(0.1)
-        await harness.add(pause, "llm")
+        request = await begin_stream(harness)
         harness.budget.withdraw = lambda _name: False
         served = []
         harness.admission.order.record = lambda *each: served.append(each)
@@ -207,30 +206,9 @@
     body = b"x" * 14_000
 
     async def scenario(server):
-        async def answer(exchange):
-            exchange.connection.transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
-            )
-            await exchange.respond(200, [], body)
-
-        server.http.handle = answer
-        caller = socket.socket()
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-        server.callers.enter_context(caller)
-        caller.connect(server.address)
-        caller.setblocking(False)
-        caller.send(waiting.REQUEST)
-        await asyncio.sleep(0.05)
-        (connection,) = server.http.connections
-        assert connection.transport.get_write_buffer_size()
+        caller = await endings.leave_answer_unsent(server, body)
         await asyncio.sleep(0.5)
-        loop = asyncio.get_running_loop()
-        received = b""
-        async with asyncio.timeout(waiting.TIMEOUT_S):
-            while not received.endswith(body):
-                data = await loop.sock_recv(caller, 65_536)
-                assert data
-                received += data
+        await endings.receive(caller, body)
 
     waiting.run_scenario(scenario, idle_timeout_s=0.3)
 
