--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -566,6 +566,8 @@
             self.bytes_since_snapshot += len(entry.command)
             if entry.voters is not None:
                 self._adopt_membership(entry)
+        if self.entries.size_bytes > self.settings.log_memory_bytes:
+            self._release_entries(self.snapshot.index)
         self.write_needed.set()
 
     def _truncate(self, from_index: int) -> None:
@@ -656,17 +658,27 @@
                 last = max(last, work.batch[-1].index)
             self.durable_index = last
         if work.snapshot:
-            self.entries.compact(
-                self.entries.retained_after(
-                    min(work.snapshot.index, self.entries.last_index),
-                    RETAINED_ENTRIES,
-                    round(self.settings.log_memory_bytes * RETAINED_FRACTION),
-                )
+            self._release_entries(
+                min(work.snapshot.index, self.entries.last_index)
             )
             if self.snapshot.index < work.snapshot.index:
                 self.snapshot = work.snapshot
         self._advance_commit_index()
 
+    def _release_entries(self, index: int) -> None:
+        """Release entries up to index, which a written snapshot covers.
+
+        Some are retained, fewer if the entries after index need their memory.
+        """
+        memory_bytes = self.settings.log_memory_bytes
+        retained_bytes = min(
+            round(memory_bytes * RETAINED_FRACTION),
+            memory_bytes - self.entries.size_after(index),
+        )
+        self.entries.compact(
+            self.entries.retained_after(index, RETAINED_ENTRIES, retained_bytes)
+        )
+
     def _advance_commit_index(self) -> None:
         """Commit entries that a quorum has synced, and wake waiting tasks."""
         if self.role is Role.LEADER:
@@ -759,7 +771,8 @@
         )
         self.first_membership = data.membership
         self.snapshot_index = index
-        self.bytes_since_snapshot = 0
+        # Entries that are not applied yet are left to the next snapshot.
+        self.bytes_since_snapshot = self.entries.size_after(index)
         self.write_needed.set()
 
     def _membership_at(self, index: int) -> membership_module.Membership:
--- a/src/flamingocleat/process/log_entries.py
+++ b/src/flamingocleat/process/log_entries.py
@@ -17,6 +17,8 @@
         self.base_index = base_index
         self.base_term = base_term
         self.entries = list(entries)
+        self.size_bytes = _size_bytes(self.entries)
+        """Size of the commands of all entries."""
 
     @property
     def last_index(self) -> int:
@@ -45,6 +47,7 @@
     def append(self, entry: messages.LogEntry) -> None:
         """Add the next entry."""
         self.entries.append(entry)
+        self.size_bytes += len(entry.command)
 
     def batch_after(
         self, index: int, max_entries: int, max_bytes: int
@@ -62,17 +65,25 @@
 
     def truncate(self, from_index: int) -> None:
         """Remove the entry at from_index and all later ones."""
-        del self.entries[from_index - self.base_index - 1 :]
+        start = from_index - self.base_index - 1
+        self.size_bytes -= _size_bytes(self.entries[start:])
+        del self.entries[start:]
 
     def compact(self, index: int) -> None:
         """Remove the entries up to index, which becomes the base."""
         if index <= self.base_index:
             return
         term = self.term(index)
-        del self.entries[: index - self.base_index]
+        count = index - self.base_index
+        self.size_bytes -= _size_bytes(self.entries[:count])
+        del self.entries[:count]
         self.base_index = index
         self.base_term = term
 
+    def size_after(self, index: int) -> int:
+        """Return the size in bytes of the commands of later entries."""
+        return _size_bytes(self.entries[max(0, index - self.base_index) :])
+
     def retained_after(
         self, index: int, max_entries: int, max_bytes: int
     ) -> int:
@@ -98,3 +109,7 @@
         while index - 1 > self.base_index and self.term(index - 1) == term:
             index -= 1
         return index
+
+
+def _size_bytes(entries: collections.abc.Iterable[messages.LogEntry]) -> int:
+    return sum(len(entry.command) for entry in entries)
