Answer a request behind another one as an entry or agent stops

Callers that had sent their next request while an answer was being computed met a close during a stop: the answer announced it, and the request stayed unread.

Cause: an answer that is written during a stop always ended its connection, whatever had arrived on it; an entry decided so before it computed the answer.

Change: the decision is made when the head of the answer is written, and leaves a connection open on which bytes have arrived. A thread serves these at once during a stop, since its selector no longer does.

--- a/src/flamingocleat/connection/threaded.py
+++ b/src/flamingocleat/connection/threaded.py
@@ -15,6 +15,28 @@
 that arrive on its connections."""
 
 
+class Connection(cheroot.server.HTTPConnection):
+    """A connection that a thread serves."""
+
+    def has_request_behind(self) -> bool:
+        """Return whether bytes have arrived that no request has read."""
+        if self.rfile.has_data():
+            return True
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def communicate(self) -> bool:
+        """Serve a request, during a stop also those behind it.
+
+        Return whether the connection is kept.
+        """
+        is_kept = super().communicate()
+        while is_kept and not self.server.ready and self.has_request_behind():
+            is_kept = super().communicate()
+        return is_kept
+
+
 class Connections(cheroot.connections.ConnectionManager):
     """Connections on which no request is being served."""
 
@@ -81,8 +103,19 @@
 class Server(cheroot.wsgi.Server):
     """HTTP server whose stop answers the requests that have arrived."""
 
+    ConnectionClass = Connection
     _connections: Connections
 
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Whether the answer of this thread leaves its connection open."""
+        return super().can_add_keepalive_connection or self.has_request_behind()
+
+    def has_request_behind(self) -> bool:
+        """Return whether this thread serves a connection with more requests."""
+        connection = getattr(threading.current_thread(), "conn", None)
+        return connection is not None and connection.has_request_behind()
+
     def prepare(self) -> None:
         """Listen, and start the threads."""
         super().prepare()
--- a/src/flamingocleat/process/entry.py
+++ b/src/flamingocleat/process/entry.py
@@ -149,6 +149,13 @@
             max(1, round(entry_settings.threads * LINGER_THREADS_FRACTION))
         )
 
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Whether the answer of this thread leaves its connection open."""
+        return super().can_add_keepalive_connection and (
+            not self.entry.draining or self.has_request_behind()
+        )
+
     def process_conn(self, conn: "_Connection") -> None:
         """Pass a connection with bytes to a thread; keep others waiting.
 
@@ -272,12 +279,10 @@
     def respond(self) -> None:
         entry = self.server.entry
         with entry.shutdown.track_call(f"http-{next(self.request_numbers)}"):
-            if entry.draining:
-                self.close_connection = True
             super().respond()
 
 
-class _Connection(cheroot.server.HTTPConnection):
+class _Connection(threaded.Connection):
     """Caller's connection, which is counted from its start to its end."""
 
     RequestHandlerClass = _Request
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -98,3 +98,22 @@
     callers.connect()
     released.set()
     assert status(kept) == 200
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_request_behind_another_is_answered_while_draining(
+    callers, is_stopping
+):
+    """Guards against a close behind an answer with a request unread."""
+    callers.serve()
+    released = callers.hold()
+    callers.server.entry.draining = True
+    sock = callers.connect(REQUEST + REQUEST)
+    if is_stopping:
+        callers.stop()
+    released.set()
+    answers = b""
+    while part := sock.recv(65536):
+        answers += part
+    assert answers.count(b"HTTP/1.1 200 OK") == 2
+    assert answers.count(b"Connection: close") == 1
