Give up no late stream at an entry that nothing can replace

Callers of an entry got 504 for a stream whose first byte took 15 s, although no other server was usable or the retry budget was used up: the attempt that was still being served was cancelled for nothing.

Change: once the bound has passed, the entry looks for another usable server and withdraws the retry from the budget; only then the attempt is given up, and the next one is paid for. A stream that may not be repeated waits until its deadline. Calls with a permit are as before.

--- a/src/flamingocleat/request/attempt.py
+++ b/src/flamingocleat/request/attempt.py
@@ -208,6 +208,8 @@
         """Number of attempts made."""
         self.tried: set[str] = set()
         """Backend servers that have failed this call."""
+        self.is_paid = False
+        """Whether the next attempt is counted against the budget already."""
         self.last_candidate: routing.Candidate | None = None
         self.last_started_s = 0.0
         self.outcome = problem.Outcome.NOT_RUN
@@ -235,7 +237,7 @@
             candidate = self.choose()
             if candidate is None:
                 raise self.refusal()
-            if self.count and not free and not self.budget.withdraw():
+            if self.count and not free and not self._pay():
                 self.backends.release(candidate)
                 self.reason += "; the retry budget is used up"
                 raise self.refusal()
@@ -255,7 +257,14 @@
                 if not self.may_retry(error):
                     raise self.refusal() from error
 
-    def choose(self) -> routing.Candidate | None:
+    def _pay(self) -> bool:
+        """Return whether the budget allows a retry; if so, count it."""
+        is_paid, self.is_paid = self.is_paid, False
+        return is_paid or self.budget.withdraw()
+
+    def choose(
+        self, excluded: collections.abc.Iterable[str] = ()
+    ) -> routing.Candidate | None:
         """Choose a backend server that has not failed this call."""
         if not self.call.remaining_s():
             return None
@@ -264,7 +273,7 @@
             routing.Call(
                 self.settings.data_centre,
                 self.call.prefixes,
-                frozenset(self.tried),
+                frozenset(self.tried.union(excluded)),
             ),
         )
 
@@ -351,7 +360,22 @@
         return problem.unknown(self.reason, 1 if self.call.repeatable else 0)
 
     def wait_for_answer(self, sock: socket.socket) -> None:
-        """Wait until the answer starts; raise if the caller disconnects."""
+        """Wait until the answer starts; raise if the caller disconnects.
+
+        A stream that does not start within its bound is given up once another
+        attempt can replace it.
+        """
+        while not self._has_answer(sock):
+            if not self.call.remaining_s():
+                raise TimeoutError("no answer before the deadline")
+            if self._may_give_up():
+                raise TimeoutError(
+                    "no first byte within "
+                    f"{self.settings.first_byte_timeout_s:.1f} s"
+                )
+
+    def _has_answer(self, sock: socket.socket) -> bool:
+        """Wait for an answer, for a stream no longer than its bound."""
         bound_s = self.call.remaining_s()
         if self.call.stream:
             bound_s = min(bound_s, self.settings.first_byte_timeout_s)
@@ -362,11 +386,23 @@
             # request in the buffer is not taken for a closed connection.
             poll.register(self.caller, select.POLLRDHUP)
         ready = {number for number, _ in poll.poll(bound_s * 1000)}
-        if sock.fileno() in ready:
-            return
-        if ready:
+        if ready and sock.fileno() not in ready:
             raise CallerGoneError("the caller closed its connection")
-        raise TimeoutError(f"no answer within {bound_s:.1f} s")
+        return bool(ready)
+
+    def _may_give_up(self) -> bool:
+        """Return whether another attempt can begin; if so, count it."""
+        if self.last_candidate is None:
+            # The outcome of a claimed call is asked for, not another attempt.
+            return True
+        if not self.call.repeatable:
+            return False
+        other = self.choose({self.last_candidate.view.backend})
+        if other is None:
+            return False
+        self.backends.release(other)
+        self.is_paid = self._pay()
+        return self.is_paid
 
 
 def _connect(
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -141,6 +141,47 @@
     released.set()
 
 
+@pytest.mark.parametrize("other", ["none", "no budget"])
+def test_late_stream_that_cannot_be_retried_is_awaited(deployment, other):
+    """Guards against a stream given up that no other attempt can replace."""
+
+    def delay(received: fakes.ReceivedRequest) -> None:
+        time.sleep(0.5)
+        fakes.send_events(received)
+
+    agents = [deployment.add_agent("g/0", delay)]
+    if other == "no budget":
+        agents.append(deployment.add_agent("g/1", delay))
+    program = deployment.start_program(first_byte_timeout_s=0.1)
+    if other == "no budget":
+        while program.entry.budget.withdraw():
+            pass
+    status, _, body = program.request(body=fakes.completion())
+    assert (status, body) == (200, fakes.events(20))
+    assert sum(len(agent.received) for agent in agents) == 1
+
+
+@pytest.mark.parametrize("headers", [False, True])
+def test_late_stream_moves_to_a_free_server(deployment, headers):
+    """Guards against a caller who waits for a server that does not begin."""
+    released = threading.Event()
+
+    def pause(received: fakes.ReceivedRequest) -> None:
+        if headers:
+            received.sock.sendall(received.stream_head())
+        released.wait(fakes.TIMEOUT_S)
+
+    silent = deployment.add_agent("g/0", pause)
+    deployment.add_agent("g/1", fakes.send_events)
+    program = deployment.start_program(first_byte_timeout_s=0.1)
+    tokens = program.entry.budget.tokens
+    while not silent.received:
+        _, _, body = program.request(body=fakes.completion())
+        assert body == fakes.events(20)
+    assert program.entry.budget.tokens == tokens - 1
+    released.set()
+
+
 def test_stream_that_cannot_be_resumed_has_no_proper_end(deployment):
     """Guards against a partial answer that looks complete to the caller.
 
