Report short answers of engines that end before their length

An agent took an answer of its engine that was cut before its Content-Length for a whole one: urllib3 reports a short body only when a further read finds nothing, and the pool read once.

Change: it reads once more, as the entries' read of an answer does.

Measured: the new case of test_answer_that_is_cut_on_a_kept_connection_is_a_failure, an answer without its last byte, did not raise before. test_backend and test_endless_answers pass.

--- a/src/flamingocleat/connection/bounded.py
+++ b/src/flamingocleat/connection/bounded.py
@@ -267,6 +267,8 @@
             )
             if len(body) > self.max_answer_bytes:
                 raise EndlessAnswerError("the answer does not end")
+            # urllib3 reports a short body only if another read finds none.
+            response.read(1, decode_content=False)
         except BaseException:
             response.close()
             raise
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -147,7 +147,7 @@
     assert server.requests == 1
 
 
-@pytest.mark.parametrize("last", [b"H", ANSWER[:20]])
+@pytest.mark.parametrize("last", [b"H", ANSWER[:20], ANSWER[:-1]])
 def test_answer_that_is_cut_on_a_kept_connection_is_a_failure(
     start_server, last
 ):
