--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -173,9 +173,8 @@
         self.new_snapshot: storage_module.Snapshot | None = None
         self.snapshot_index = storage.snapshot.index
         """Index of the latest snapshot, which may still be unwritten."""
-        self.bytes_since_snapshot = sum(
-            len(entry.command) for entry in storage.entries
-        )
+        self.bytes_since_snapshot = 0
+        """Size of the applied commands that it does not cover."""
         try:
             self._restore(self.snapshot)
         except msgspec.MsgspecError as error:
@@ -563,10 +562,12 @@
     ) -> None:
         for entry in entries:
             self.entries.append(entry)
-            self.bytes_since_snapshot += len(entry.command)
             if entry.voters is not None:
                 self._adopt_membership(entry)
-        if self.entries.size_bytes > self.settings.log_memory_bytes:
+        if (
+            self.entries.size_bytes > self.settings.log_memory_bytes
+            and self.entries.base_index < self.snapshot.index
+        ):
             self._release_entries(self.snapshot.index)
         self.write_needed.set()
 
@@ -710,6 +711,7 @@
                 self._fail(f"entry {entry.index} not applicable: {error!r}")
                 return
             self.applied_index = entry.index
+            self.bytes_since_snapshot += len(entry.command)
             self._complete_proposal(entry, result)
         if self.applied_index < self.commit_index:
             asyncio.get_running_loop().call_soon(self._apply)
@@ -771,8 +773,7 @@
         )
         self.first_membership = data.membership
         self.snapshot_index = index
-        # Entries that are not applied yet are left to the next snapshot.
-        self.bytes_since_snapshot = self.entries.size_after(index)
+        self.bytes_since_snapshot = 0
         self.write_needed.set()
 
     def _membership_at(self, index: int) -> membership_module.Membership:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -952,3 +952,44 @@
                 pass
 
     asyncio.run(scenario())
+
+
+def test_backlog_does_not_make_each_commit_a_snapshot(tmp_path):
+    """Entries that a snapshot cannot cover yet must not trigger one."""
+    changes = 100
+    text = "x" * 200_000
+
+    async def scenario(cluster):
+        leader = await cluster.settled_leader()
+        blocked = [
+            BlockedAppends(node)
+            for node in cluster.voters.values()
+            if node is not leader
+        ]
+        snapshots = 0
+        take_snapshot = leader.machine.snapshot
+
+        def count_snapshot():
+            nonlocal snapshots
+            snapshots += 1
+            return take_snapshot()
+
+        leader.machine.snapshot = count_snapshot
+        proposals = [
+            asyncio.create_task(
+                leader.propose(
+                    cluster_module.submission(f"c{number}", number, text=text)
+                )
+            )
+            for number in range(changes)
+        ]
+        await asyncio.sleep(0.5)
+        for each in blocked:
+            each.released.set()
+        await asyncio.gather(*proposals)
+        due_bytes = leader.settings.log_memory_bytes * (
+            1 - consensus.RETAINED_FRACTION
+        )
+        assert snapshots <= 1 + changes * len(text) / due_bytes
+
+    run_cluster(scenario, tmp_path)
