End a stop although requests arrive without end behind others

Found by the review of: a caller that sends requests without waiting for answers kept a thread of an entry in the loop that serves them during a stop, and the stop did not end.

Change: at the end of the stop's time limit (shutdown_timeout) nothing more is read; the answer under way announces the close.

Measured: test_caller_that_sends_without_end_does_not_hold_a_stop fails without the change after 3 s with a limit of 0.5 s, and passes.

--- a/src/flamingocleat/connection/threaded.py
+++ b/src/flamingocleat/connection/threaded.py
@@ -32,7 +32,11 @@
         Return whether the connection is kept.
         """
         is_kept = super().communicate()
-        while is_kept and not self.server.ready and self.has_request_behind():
+        while (
+            is_kept
+            and not self.server.ready
+            and self.server.has_request_behind()
+        ):
             is_kept = super().communicate()
         return is_kept
 
@@ -58,6 +62,7 @@
 
     def stop(self) -> None:
         """Stop the selector's loop, and pass on the requests that wait."""
+        self.server.end_s = time.monotonic() + self.server.shutdown_timeout
         super().stop()
         self._close_listener()
         end_s = time.monotonic() + ARRIVAL_S
@@ -105,6 +110,8 @@
 
     ConnectionClass = Connection
     _connections: Connections
+    end_s = float("inf")
+    """End of a stop, on the monotonic clock."""
 
     @property
     def can_add_keepalive_connection(self) -> bool:
@@ -112,9 +119,16 @@
         return super().can_add_keepalive_connection or self.has_request_behind()
 
     def has_request_behind(self) -> bool:
-        """Return whether this thread serves a connection with more requests."""
+        """Return whether this thread serves a connection with more requests.
+
+        At the end of a stop they are no longer read.
+        """
         connection = getattr(threading.current_thread(), "conn", None)
-        return connection is not None and connection.has_request_behind()
+        return (
+            connection is not None
+            and time.monotonic() < self.end_s
+            and connection.has_request_behind()
+        )
 
     def prepare(self) -> None:
         """Listen, and start the threads."""
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -1,6 +1,8 @@
 """Requests that wait on an entry's connections as a rule ends these."""
 
 import collections.abc
+import contextlib
+import threading
 import time
 
 import pytest
@@ -117,3 +119,34 @@
         answers += part
     assert answers.count(b"HTTP/1.1 200 OK") == 2
     assert answers.count(b"Connection: close") == 1
+
+
+def test_caller_that_sends_without_end_does_not_hold_a_stop(callers):
+    """Guards against a stop that lasts as long as requests arrive."""
+    callers.server.shutdown_timeout = 0.5
+    callers.server.entry.draining = True
+    callers.serve()
+    sock = callers.connect()
+    end_s = time.monotonic() + 5
+
+    def send() -> None:
+        with contextlib.suppress(OSError):
+            while time.monotonic() < end_s:
+                sock.sendall(REQUEST * 50)
+
+    def read() -> None:
+        with contextlib.suppress(OSError):
+            while sock.recv(65536):
+                pass
+
+    threads = [threading.Thread(target=work) for work in (send, read)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.2)
+    stopping = callers.stop()
+    stopping.join(3.0)
+    is_stopped = not stopping.is_alive()
+    sock.close()
+    for thread in threads:
+        thread.join()
+    assert is_stopped
