Test the stops of agents' and operators' servers in one place

Both files held the same two tests with another server, since both servers are threaded.Server. One fixture now starts either; every assertion stays, and agents are tested with requests that arrive in parts as well.

--- a/tests/test_operators_stop.py
+++ b/tests/test_threaded_stop.py
@@ -1,9 +1,11 @@
-"""Operators' requests that wait on connections as control stops."""
+"""Requests that wait on connections as an agent or control stops."""
 
 import collections.abc
 
 import pytest
 
+from flamingocleat.connection import threaded
+from flamingocleat.process import agent
 from flamingocleat.process import operators
 from tests import stopping_servers
 
@@ -16,17 +18,25 @@
     return []
 
 
-@pytest.fixture
-def callers() -> collections.abc.Iterator[stopping_servers.Callers]:
+def agent_server() -> threaded.Server:
+    return agent._Server("127.0.0.1:0", application, 8)
+
+
+def operators_server() -> threaded.Server:
     server = operators.HttpServer("127.0.0.1:0", application).server
     # The stop of the fixture waits for callers that send nothing.
     server.shutdown_timeout = 1
-    with stopping_servers.Callers(server) as opened:
+    return server
+
+
+@pytest.fixture(params=[agent_server, operators_server])
+def callers(request) -> collections.abc.Iterator[stopping_servers.Callers]:
+    with stopping_servers.Callers(request.param()) as opened:
         yield opened
 
 
 def test_requests_that_wait_to_be_accepted_are_answered_at_a_stop(callers):
-    """Guards against a reset that leaves the outcome of a change unknown."""
+    """Guards against a reset that leaves the outcome unknown."""
     waiting = [callers.connect(REQUEST) for _ in range(20)]
     callers.stop()
     assert [status(sock) for sock in waiting] == [204] * len(waiting)
