--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "standin-2"))
 
@@ -11,6 +10,8 @@
 
 FOLDER = pathlib.Path(__file__).parent
 REQUESTERS = 30
+GATEWAYS = 4
+"""One of seven machines is killed."""
 RESTART_S = 0.3
 """Time after which the platform starts a killed process again."""
 CALM_S = 6.0
@@ -41,19 +42,11 @@
         self.record = deployment.record
         self.channel = None
 
-    async def connect(self, within_s: float) -> None:
+    async def connect(self) -> None:
         host, _, port = self.deployment.address(
             "front-1", standin.FRONT
         ).rpartition(":")
-        end_s = time.monotonic() + within_s
-        while True:
-            try:
-                self.channel = await asyncio.open_connection(host, int(port))
-                return
-            except OSError:
-                if time.monotonic() > end_s:
-                    raise standin.NoRunError("no channel opens") from None
-                await asyncio.sleep(0.02)
+        self.channel = await asyncio.open_connection(host, int(port))
 
     async def send(self, name: str, header_bytes: int = 0) -> int:
         """Send a request on the channel; return its status, or 0."""
@@ -89,7 +82,7 @@
 
 
 async def play(record, trouble: bool) -> list[str]:
-    deployment = standin.Deployment(record)
+    deployment = standin.Deployment(record, gateways=GATEWAYS)
     replicas = [
         standin.PlainReplica(deployment, number, "desk") for number in (1, 2)
     ]
@@ -104,7 +97,7 @@
         await deployment.wait_ready(20.0)
         # The limit holds before the disruption.
         probe = Requester(deployment, 1000)
-        await probe.connect(1.0)
+        await probe.connect()
         if await probe.send("probe", HEADER_BYTES) != 200:
             raise standin.NoRunError("a proper request is not served")
         probe.close()
@@ -113,7 +106,8 @@
             await deployment.kill("front-1")
             await asyncio.sleep(RESTART_S)
             await deployment.start("front-1")
-        await asyncio.gather(*(each.connect(5.0) for each in requesters))
+            await deployment.wait_listening("front-1")
+        await asyncio.gather(*(each.connect() for each in requesters))
         first = await asyncio.gather(*(each.send("first") for each in requesters))
         sent += len(first)
         await asyncio.sleep(CALM_S)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,6 +13,9 @@
 CUT_S = 10.0
 SECOND_CUT_AT_S = 7.0
 QUIET_S = 5.0
+REPLICAS = 10
+SMALL_DOMAIN = 3
+"""Replicas in the first domain: one group and a spare."""
 ENGINE = {
     "slots": 24, "kvCapacity": 700000, "tokenKvBytes": 70272,
     "linkMbps": 400000.0, "stride": 3,
@@ -62,8 +65,11 @@
     deployment = standin.Deployment(record)
     fleet: dict[str, standin.ModelReplica] = {}
     replicas = [
-        standin.ModelReplica(deployment, number, "llm", fleet, ENGINE)
-        for number in (1, 2, 3)
+        standin.ModelReplica(
+            deployment, number, "llm", fleet, ENGINE,
+            "d0" if number <= SMALL_DOMAIN else "d1",
+        )
+        for number in range(1, REPLICAS + 1)
     ]
     try:
         await deployment.start_all()
@@ -72,7 +78,7 @@
         await deployment.put(CONFIG)
         await deployment.wait_ready(40.0)
         end_s = time.monotonic() + 30.0
-        while not (heads := [r for r in replicas
+        while not (heads := [r for r in replicas[:SMALL_DOMAIN]
                              if r.group_state == "open" and not r.rank]):
             if time.monotonic() > end_s:
                 raise standin.NoRunError("no group opens")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,6 +16,9 @@
 CUT_AFTER_S = 0.2
 """Time from that order to the cut."""
 CUT_S = 10.0
+REPLICAS = 10
+SMALL_DOMAIN = 3
+"""Replicas in the first domain: one group and a spare."""
 ENGINE = {
     "slots": 24, "kvCapacity": 700000, "tokenKvBytes": 70272,
     "linkMbps": 400000.0, "stride": 3,
@@ -56,7 +59,8 @@
     async def handle(self, request, writer) -> None:
         is_order = request.first.split()[1] == "/api/order"
         order = json.loads(request.body) if is_order else {}
-        if Replica.late and order.get("op") == "open":
+        is_small = self.domain == "d0"
+        if Replica.late and is_small and order.get("op") == "open":
             Replica.late = False
             self.record(f"{self.id} leaves an order to open unanswered")
             self._later(self._carry_out(order))
@@ -81,8 +85,11 @@
     fleet: dict[str, Replica] = {}
     Replica.late = trouble
     replicas = [
-        Replica(deployment, number, "llm", fleet, ENGINE)
-        for number in (1, 2, 3)
+        Replica(
+            deployment, number, "llm", fleet, ENGINE,
+            "d0" if number <= SMALL_DOMAIN else "d1",
+        )
+        for number in range(1, REPLICAS + 1)
     ]
     try:
         await deployment.start_all()
@@ -90,7 +97,7 @@
             await replica.start()
         await deployment.put(CONFIG)
         end_s = time.monotonic() + 30.0
-        while not any(r.group_state == "open" for r in replicas):
+        while not any(r.group_state == "open" for r in replicas[:SMALL_DOMAIN]):
             if time.monotonic() > end_s:
                 raise standin.NoRunError("no group opens")
             await asyncio.sleep(0.1)
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -356,6 +356,20 @@
 
     # The operator and the platform's load balancer.
 
+    async def wait_listening(self, node: str, within_s: float = 5.0) -> None:
+        """Wait until a node takes channels from requesters."""
+        host, _, port = self.address(node, FRONT).rpartition(":")
+        end_s = time.monotonic() + within_s
+        while time.monotonic() < end_s:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            writer.close()
+            return
+        raise NoRunError(f"{node} takes no channels")
+
     async def put(self, config: dict, within_s: float = 15.0) -> None:
         """Send a configuration until it is acknowledged."""
         body = json.dumps(config).encode()
@@ -573,9 +587,12 @@
     Members see each other directly: a cut from the core does not part them.
     """
 
-    def __init__(self, deployment, number, service, fleet, engine) -> None:
+    def __init__(
+        self, deployment, number, service, fleet, engine, domain="d0"
+    ) -> None:
         super().__init__(deployment, number)
         self.service = service
+        self.domain = domain
         self.fleet: dict[str, ModelReplica] = fleet
         self.models = {each["name"]: each for each in engine["models"]}
         self.form_s = engine["formMs"] / 1000
@@ -605,7 +622,7 @@
             "born": self.born,
             "stage": "colocated",
             "staged": list(self.staged),
-            "domain": "d0",
+            "domain": self.domain,
             "models": [],
         }
         if self.group is not None:
@@ -712,8 +729,6 @@
         self.group, self.epoch, self.members = key, order["epoch"], members
         self.rank = members.index(self.id)
         self.last_model, self.group_state = model, "joining"
-        if model not in self.staged:
-            self.staged = [model]
         self.stalled_s = None
         self.former = (members[0], *key)
         self._later(self._become("ready", key, wait_s))
@@ -743,6 +758,8 @@
         await asyncio.sleep(wait_s)
         if self.group == key:
             self.group_state = state
+            if self.last_model not in self.staged:
+                self.staged = [self.last_model]  # A load has staged it.
             self.record(f"{self.id} is {state} in {key[0]}")
             self.changed()
 
@@ -777,6 +794,8 @@
         """Serve a stream of a few events."""
         request_id = request.header("x-request-id")
         echo = [("X-Request-Id", request_id)]
+        while self.stalled_s is not None:
+            await asyncio.sleep(0.01)  # Nothing moves until it is broken.
         if self.rank or self.group_state != "open":
             status = 421 if self.rank else 503
             await self.answer(writer, status, [*echo, ("X-Not-Executed", "1")])
