Bear the loss of a disk just after a replacement

Cause: the machine that was removed stays one of four voters until its silence is noticed. The loss of one disk leaves two of four, and the empty machine has a new id, which only a leader can let in.

Ruled out as the whole answer: leaving at SIGTERM, a shorter silence, a successor without a vote.

Change: a voter that stops leaves first if more are left than needed. Half of an even number of voters is a quorum if a voter of the other half is known to have lost its data, as its address answers under another id. Two such halves, or a half and a majority, share a voter that holds its data.

--- a/src/flamingocleat/connection/codec.py
+++ b/src/flamingocleat/connection/codec.py
@@ -167,3 +167,4 @@
     "/Fleet/Feed", messages.GatewayReport, messages.GatewayView, _BIDIRECTIONAL
 )
 JOIN = Call("/Voters/Join", messages.JoinRequest, messages.JoinReply)
+LEAVE = Call("/Voters/Leave", messages.LeaveRequest, messages.LeaveReply)
--- a/src/flamingocleat/connection/peer.py
+++ b/src/flamingocleat/connection/peer.py
@@ -160,6 +160,7 @@
         try:
             await self._append(previous, (), HEARTBEAT_TIMEOUT_S)
         except CALL_ERRORS as error:
+            self.consensus.record_call_error(self.voter, error)
             self._record_failure(error)
             await asyncio.sleep(RETRY_INTERVAL_S)
         else:
@@ -227,6 +228,7 @@
             codec.APPEND, self.address, request, timeout_s
         )
         self.reads_packed = reply.reads_packed
+        self.consensus.record_reply(self.voter)
         if reply.term == self.term:
             self.contact_s = max(self.contact_s, sent_s)
             self.answered_s = max(self.answered_s, sent_s)
@@ -290,6 +292,14 @@
     )
 
 
+def is_other_voter(error: BaseException) -> bool:
+    """Return whether a call reached another voter than it was meant for."""
+    return (
+        isinstance(error, grpclib.GRPCError)
+        and error.status is grpclib.Status.FAILED_PRECONDITION
+    )
+
+
 def _is_timeout(error: BaseException) -> bool:
     """Return whether a call took too long, at either end."""
     if isinstance(error, grpclib.GRPCError):
--- a/src/flamingocleat/messages.py
+++ b/src/flamingocleat/messages.py
@@ -680,3 +680,15 @@
     """Answers a JoinRequest; true if the voter is or will be a member."""
 
     accepted: bool
+
+
+class LeaveRequest(Message, frozen=True):
+    """The request of a voter that is stopping to leave the voters."""
+
+    voter: ids.VoterId
+
+
+class LeaveReply(Message, frozen=True):
+    """Answers a LeaveRequest; true if a voter was dropped."""
+
+    accepted: bool
--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -153,6 +153,10 @@
         self.leader_heard_s = -ELECTION_TIMEOUT_MAX_S
         self.election_due_s = 0.0
 
+        self.lost_voters: set[ids.VoterId] = set()
+        """Voters at whose addresses another voter answers: their data is gone,
+        since a voter keeps its id as long as it has its data."""
+
         self.snapshot = storage.snapshot
         self.entries = log_entries.LogEntries(
             storage.snapshot.index, storage.snapshot.term, storage.entries
@@ -358,7 +362,9 @@
 
     def has_quorum(self, others: set[ids.VoterId]) -> bool:
         """Return whether this voter and others form a quorum."""
-        return self.membership.has_quorum(others | {self.voter})
+        return self.membership.has_quorum(
+            others | {self.voter}, self.lost_voters
+        )
 
     def quorum_contact_s(self) -> float:
         """Return when a quorum, with this leader, was last in contact.
@@ -377,6 +383,19 @@
                 return contact_s
         return float("-inf")
 
+    def record_call_error(
+        self, voter: ids.VoterId, error: BaseException
+    ) -> None:
+        """Note what a failed call to a voter says about it."""
+        if peer_module.is_other_voter(error) and voter not in self.lost_voters:
+            self.lost_voters.add(voter)
+            logs.warning(_log, "voter_lost_data", voter=voter)
+            self._advance_commit_index()
+
+    def record_reply(self, voter: ids.VoterId) -> None:
+        """Note that a voter has answered under its own id."""
+        self.lost_voters.discard(voter)
+
     def _append_as_leader(
         self,
         command: bytes,
@@ -616,6 +635,7 @@
             entry.voters, entry.outgoing
         )
         self.membership_index = entry.index
+        self.lost_voters &= set(self.membership.addresses())
         if self.role is Role.LEADER:
             self._update_peers()
 
@@ -707,7 +727,7 @@
             values = {v: peer.match_index for v, peer in self.peers.items()}
             # The leader's own copy counts only once it is synced.
             values[self.voter] = self.durable_index
-            index = self.membership.reached(values)
+            index = self.membership.reached(values, self.lost_voters)
             # Entries of earlier terms are committed only indirectly, by
             # committing an entry of this term (Raft paper, figure 8).
             if index >= self.term_start:
@@ -890,8 +910,10 @@
             reply = await self.call(
                 codec.VOTE, address, request, VOTE_TIMEOUT_S
             )
-        except peer_module.CALL_ERRORS:
+        except peer_module.CALL_ERRORS as error:
+            self.record_call_error(voter, error)
             return None
+        self.record_reply(voter)
         await self.on_reply(reply.term)
         granted = reply.granted and reply.voter == voter
         return voter if granted else None
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -200,6 +200,7 @@
                     {
                         codec.GATEWAY_FEED: self.publisher.handle,
                         codec.JOIN: self.voters.handle_join,
+                        codec.LEAVE: self.voters.handle_leave,
                     }
                 ),
             ]
@@ -250,6 +251,8 @@
         self.http.close_listener()
         self.waits.end_within(LAST_WAIT_S)
         await self.http.drain(time.monotonic() + DRAIN_WAIT_S)
+        if not self.consensus.failure:
+            await self.voters.leave()
         # The process may go on with another coordinator in place of this one.
         await self.http.close()
         for task in list(self.tasks):
--- a/src/flamingocleat/process/membership.py
+++ b/src/flamingocleat/process/membership.py
@@ -1,4 +1,11 @@
-"""Raft membership: the voters and their quorums."""
+"""Raft membership: the voters and their quorums.
+
+A quorum is a majority. Half of an even number of voters is one as well if a
+voter of the other half is known to have lost its data for good: two such
+halves, or a half and a majority, always share a voter that holds its data.
+This keeps a cluster available that has one voter more than it needs while a
+machine is being replaced, and loses that machine and a disk within moments.
+"""
 
 import collections.abc
 
@@ -28,20 +35,31 @@
         return (self.outgoing or {}) | self.voters
 
     def has_quorum(
-        self, agreed: collections.abc.Container[ids.VoterId]
+        self,
+        agreed: collections.abc.Container[ids.VoterId],
+        lost: collections.abc.Container[ids.VoterId] = frozenset(),
     ) -> bool:
-        """Return whether the voters that agreed form a quorum."""
+        """Return whether the voters that agreed form a quorum.
+
+        Voters known to have lost their data do not count, whatever they agreed
+        to before.
+        """
         return all(
-            sum(voter in agreed for voter in voters) > len(voters) // 2
+            sum(voter in agreed and voter not in lost for voter in voters)
+            >= _quorum_size(voters, lost)
             for voters in self._voter_sets()
         )
 
-    def reached(self, values: collections.abc.Mapping[ids.VoterId, int]) -> int:
+    def reached(
+        self,
+        values: collections.abc.Mapping[ids.VoterId, int],
+        lost: collections.abc.Container[ids.VoterId] = frozenset(),
+    ) -> int:
         """Return the highest value that a quorum of voters has reached."""
         return min(
-            sorted(values.get(voter, 0) for voter in voters)[
-                (len(voters) - 1) // 2
-            ]
+            sorted(
+                0 if voter in lost else values.get(voter, 0) for voter in voters
+            )[-_quorum_size(voters, lost)]
             for voters in self._voter_sets()
         )
 
@@ -51,3 +69,14 @@
 
     def _voter_sets(self) -> list[dict[ids.VoterId, str]]:
         return [self.voters] + ([self.outgoing] if self.outgoing else [])
+
+
+def _quorum_size(
+    voters: dict[ids.VoterId, str],
+    lost: collections.abc.Container[ids.VoterId],
+) -> int:
+    half = len(voters) // 2
+    is_half_enough = len(voters) % 2 == 0 and any(
+        voter in lost for voter in voters
+    )
+    return half if is_half_enough else half + 1
--- a/src/flamingocleat/process/voters.py
+++ b/src/flamingocleat/process/voters.py
@@ -1,7 +1,8 @@
 """Automatic membership changes of the coordinators.
 
 The seeds of the first start are the initial voters. Any other coordinator asks
-the leader to join. The leader decides by `voter_set` who votes.
+the leader to join, and one that stops asks to leave. The leader decides by
+`voter_set` who votes.
 """
 
 import asyncio
@@ -36,6 +37,8 @@
 REVIEW_INTERVAL_S = 0.5
 """Interval at which the leader checks its voters and others ask to join."""
 JOIN_TIMEOUT_S = 1.0
+LEAVE_TIMEOUT_S = 0.5
+"""Time for which a stop waits until this voter has left."""
 FIRST_TERM = 1
 """Term of the first snapshot; nobody votes in it."""
 
@@ -111,6 +114,7 @@
         self.settings = settings
         self.consensus = consensus
         self.clock = clock
+        self.leaving = False
 
     async def run(self) -> None:
         """Check the voters or ask to join, until cancelled."""
@@ -121,10 +125,41 @@
             elif self._should_join():
                 await self._request_join()
 
+    async def leave(self) -> None:
+        """Leave the voters if the others suffice; this voter is stopping.
+
+        Otherwise, or if it takes too long, this voter stays one and takes part
+        again after its next start.
+        """
+        self.leaving = True
+        consensus = self.consensus
+        if len(consensus.membership.voters) <= self._needed_voters():
+            return
+        request = messages.LeaveRequest(consensus.voter)
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                if consensus.role is consensus_module.Role.LEADER:
+                    await self._remove_voter(request)
+                elif consensus.leader_address:
+                    await consensus.call(
+                        codec.LEAVE,
+                        consensus.leader_address,
+                        request,
+                        LEAVE_TIMEOUT_S,
+                    )
+        except (errors.FlamingocleatError, *peer_module.CALL_ERRORS) as error:
+            # A leader that has left stops leading before its call returns.
+            if consensus.voter in consensus.membership.voters:
+                logs.info(_log, "voter_stays", reason=repr(error))
+
     async def handle_join(self, stream: typing.Any) -> None:
         """Handle a request to join the voters."""
         await self._handle(stream, self._add_voter, messages.JoinReply)
 
+    async def handle_leave(self, stream: typing.Any) -> None:
+        """Handle the request of a voter that stops to leave the voters."""
+        await self._handle(stream, self._remove_voter, messages.LeaveReply)
+
     async def _handle(
         self,
         stream: typing.Any,
@@ -166,6 +201,12 @@
         await self.consensus.propose(declared.ChangeVoters(new_voters))
         return True
 
+    async def _remove_voter(self, request: messages.LeaveRequest) -> bool:
+        self._check_leader()
+        return await self._drop_voters(
+            "voter_left", [request.voter, *self._silent_voters()]
+        )
+
     async def _drop_silent_voters(self) -> None:
         try:
             await self._drop_voters(
@@ -212,6 +253,8 @@
 
     def _should_join(self) -> bool:
         """Return whether this voter should ask to join."""
+        if self.leaving:
+            return False
         heard_s = self.clock() - self.consensus.leader_heard_s
         known = self.consensus.membership.addresses()
         return self.consensus.voter not in known or heard_s > SILENCE_TIMEOUT_S
--- a/tests/direct/coordinators.py
+++ b/tests/direct/coordinators.py
@@ -97,6 +97,8 @@
 
     async def kill(self, number: int) -> None:
         """Stop a coordinator that has no time to leave the voters."""
+        instance = self.running[number]
+        instance.voters.leave = _no_leave
         await self.stop(number)
 
     async def lose_disk(self, number: int) -> None:
@@ -217,6 +219,10 @@
             await self.stop(number)
 
 
+async def _no_leave() -> None:
+    return
+
+
 def run_scenario(tmp_path, scenario) -> None:
     async def run() -> None:
         cluster = Cluster(tmp_path)
--- a/tests/direct/test_voters.py
+++ b/tests/direct/test_voters.py
@@ -192,6 +192,46 @@
     coordinators.run_scenario(tmp_path, scenario)
 
 
+async def _replace(cluster, *, successor: int, removed: int, kill: bool):
+    await cluster.start(successor, bootstrap=False)
+    await cluster.wait_for_voters({*cluster.running})
+    if kill:
+        await cluster.kill(removed)
+    else:
+        await cluster.stop(removed)
+
+
+# A machine that was removed stayed a voter, and the loss of one disk that
+# followed left two of four voters, which could not let the empty one in.
+@pytest.mark.parametrize("kill", [True, False])
+@pytest.mark.parametrize("removes_leader", [True, False])
+@pytest.mark.parametrize("victim", ["leader", "follower", "successor"])
+def test_disk_is_lost_just_after_a_replacement(
+    tmp_path, kill, removes_leader, victim
+):
+    async def scenario(cluster):
+        await cluster.put(7)
+        leader = await cluster.leader_number()
+        followers = [n for n in cluster.running if n != leader]
+        removed = leader if removes_leader else followers[0]
+        await _replace(cluster, successor=4, removed=removed, kill=kill)
+        await cluster.put(9)
+        leader = await cluster.leader_number()
+        victims = {
+            "leader": leader,
+            "follower": next(
+                n for n in cluster.running if n not in (4, leader)
+            ),
+            "successor": 4,
+        }
+        await cluster.lose_disk(victims[victim])
+        assert await cluster.get() == 9
+        await cluster.wait_for_voters({*cluster.running})
+        await cluster.put(10)
+
+    coordinators.run_scenario(tmp_path, scenario)
+
+
 # Two voters of five were gone, and stayed voters since five is an odd number.
 @pytest.mark.parametrize("kill", [True, False])
 def test_removed_voters_are_dropped_from_an_odd_number(tmp_path, kill):
@@ -232,6 +272,21 @@
     coordinators.run_scenario(tmp_path, scenario)
 
 
+# A voter that stops leaves at once, without the wait for its silence.
+def test_stopping_voter_leaves_if_the_others_suffice(tmp_path, monkeypatch):
+    monkeypatch.setattr(voters, "SILENCE_TIMEOUT_S", 60.0)
+
+    async def scenario(cluster):
+        await cluster.put(1)
+        await cluster.start(4, bootstrap=False)
+        await cluster.wait_for_voters({1, 2, 3, 4})
+        removed = await cluster.leader_number()
+        await cluster.stop(removed)
+        await cluster.wait_for_voters({1, 2, 3, 4} - {removed})
+
+    coordinators.run_scenario(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("pause_s", [0.0, 1.0])
 def test_restarted_voters_stay_voters(tmp_path, pause_s):
     """A planned restart must not cost a voter, whose disk may be needed."""
