Hold each request to the limits in force as it is read

Cause: a connection's parser takes the limit on heads as the connection is opened. The other limits were read before the wait for the request, and a gateway without a configuration applied defaults that no configuration names.

Change: a head is parsed with the limit in force, limits on bodies are read once the head is, and a timeout that expires is compared with the one in force then. The retry budget of reloaded settings holds for the next retry.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -188,10 +188,9 @@
     def __init__(self, server: "Server") -> None:
         self.server = server
         self.intake = server.intake
-        self.http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=server.limits().max_header_bytes,
-        )
+        self.http = h11.Connection(h11.SERVER)
+        self.head_bytes = 0
+        """Limit on heads that the parser was created with."""
         self.data_arrived = asyncio.Event()
         self.admitted = asyncio.Event()
         self.write_resumed = asyncio.Event()
@@ -472,10 +471,10 @@
             self.transport.resume_reading()
 
     async def _read(self) -> Exchange | None:
-        limits = self.server.limits()
-        request = await self._read_head(limits)
+        request = await self._read_head()
         if request is None:
             return None
+        limits = self.server.limits()
         length = _check_framing(request)
         if self.refusal is not None:
             raise self.refusal
@@ -545,38 +544,77 @@
             self.intake.refused[intake_module.Reason.ROOM] += 1
             raise _no_room("no room for the body") from error
 
-    async def _read_head(self, limits: catalog.Limits) -> h11.Request | None:
-        event = self.http.next_event()
+    async def _read_head(self) -> h11.Request | None:
+        event = self._parse_head()
         while event is h11.NEED_DATA and not self.http.trailing_data[0]:
-            await self._wait_while_idle(limits.idle_timeout_s)
-            event = self.http.next_event()
-        try:
-            async with asyncio.timeout(limits.header_timeout_s):
-                while event is h11.NEED_DATA:
-                    await self._wait_for_data()
-                    event = self.http.next_event()
-        except TimeoutError:
-            if not self.data_arrived.is_set():
-                raise
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                raise
+            await self._wait_while_idle()
+            event = self._parse_head()
+        began_s = time.monotonic()
+        while event is h11.NEED_DATA:
+            is_late = False
+            try:
+                await self._wait_within(
+                    lambda: self.server.limits().header_timeout_s, began_s
+                )
+            except TimeoutError:
+                if not self.data_arrived.is_set():
+                    raise
+                is_late = True
+            event = self._parse_head()
+            if is_late and event is h11.NEED_DATA:
+                raise TimeoutError
         return event if isinstance(event, h11.Request) else None
 
-    async def _wait_while_idle(self, limit_s: float) -> None:
+    def _parse_head(self) -> typing.Any:
+        """Parse what has arrived of a head, within the limit in force now.
+
+        A parser's own limit cannot be changed.
+        """
+        limit = self.server.limits().max_header_bytes
+        if limit != self.head_bytes:
+            arrived, _ = self.http.trailing_data
+            self.http = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=limit
+            )
+            self.head_bytes = limit
+            if arrived:
+                self.http.receive_data(arrived)
+        return self.http.next_event()
+
+    async def _wait_while_idle(self) -> None:
         """Wait for a request; raise TimeoutError if none comes."""
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._wait_for_data()
-        except TimeoutError:
-            # A loop that stood still sees the limit and the request at once.
-            if not self.may_end(endings.Rule.IDLE_LIMIT):
+        limits_s = [
+            lambda: self.server.limits().idle_timeout_s,
+            lambda: WRITE_TIMEOUT_S,
+        ]
+        for limit_s in limits_s:
+            try:
+                await self._wait_within(limit_s, time.monotonic())
+            except TimeoutError:
+                # A loop that stood still sees the limit and the request at
+                # once.
+                if not self.may_end(endings.Rule.IDLE_LIMIT):
+                    return
+                is_sent = self.transport.get_write_buffer_size() == 0
+                if is_sent or limit_s() >= WRITE_TIMEOUT_S:
+                    raise
+                # The close would cut the answer before.
+            else:
                 return
-            is_sent = self.transport.get_write_buffer_size() == 0
-            if is_sent or limit_s >= WRITE_TIMEOUT_S:
-                raise
-            # The close would cut the answer before.
-            await self._wait_while_idle(WRITE_TIMEOUT_S)
+
+    async def _wait_within(
+        self, limit_s: collections.abc.Callable[[], float], began_s: float
+    ) -> None:
+        """Wait for data; raise TimeoutError after the limit in force then."""
+        while True:
+            end_s = began_s + limit_s()
+            try:
+                async with asyncio.timeout(end_s - time.monotonic()):
+                    await self._wait_for_data()
+                return
+            except TimeoutError:
+                if self.data_arrived.is_set() or began_s + limit_s() <= end_s:
+                    raise
 
     async def _next_event(self) -> typing.Any:
         while (event := self.http.next_event()) is h11.NEED_DATA:
--- a/src/flamingocleat/process/gateway.py
+++ b/src/flamingocleat/process/gateway.py
@@ -116,6 +116,7 @@
     def reload(self) -> None:
         """Reload the settings; the next search for a leader uses them."""
         self.settings = self.read_settings()
+        self.budget.settings = self.settings.budget
         self.admission.cold.bounds = self.settings.cold
 
     async def run(self) -> int:
--- a/src/flamingocleat/request/forward.py
+++ b/src/flamingocleat/request/forward.py
@@ -124,7 +124,7 @@
     def limits(self) -> catalog.Limits:
         """Return the limits on callers' requests."""
         if self.catalog_index is None:
-            return catalog.Limits()
+            return catalog.UNCONFIGURED_LIMITS
         return self.catalog_index.catalog.limits
 
     def apply_catalog(self, catalog_index: catalog.CatalogIndex) -> None:
--- a/src/flamingocleat/version/catalog.py
+++ b/src/flamingocleat/version/catalog.py
@@ -145,6 +145,13 @@
     idle_timeout_s: float = 15.0
 
 
+UNCONFIGURED_LIMITS = Limits(
+    max_header_bytes=262_144, max_body_bytes=16_777_216
+)
+"""Limits until the first configuration is known, which may allow more than the
+default does."""
+
+
 class Catalog(msgspec.Struct, frozen=True):
     """One version of the complete configuration."""
 
