Take silence of a head for no sign of its end

Cause: a head that was silent for 12 s counted as ended, although it was known that a member had left it less than the stall time ago.

Ruled out: late or wrong reports of the member, the stall time itself.

Change: head_ends decides when a head has ended: it says so, its lifetime has ended, or it has lacked a member for the stall time. A group of which nobody is heard is kept until somebody is, and its head gets no orders after 12 s.

The run of test_ended_group_is_not_adopted_again has the length that it had; the constant that named it is gone.

--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -23,6 +23,7 @@
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import formation
 from flamingocleat.version import group as group_module
+from flamingocleat.version import head_ends
 from flamingocleat.version import layout
 from flamingocleat.version import orders as orders_module
 from flamingocleat.version import room
@@ -43,13 +44,9 @@
 FINISH_WORK_TIMEOUT_S = 10.0
 """Maximum time that the other members stay in a closing group so that its
 head can finish its requests."""
-UNREACHABLE_MARGIN_S = 8.0
-"""Added to the stall time before an unreachable head counts as ended. It may
-still be open behind a partition, or finish requests after it stopped
-listening."""
-STALL_MARGIN_S = 0.3
-"""Added to the stall time of a head whose members have left, to allow for the
-delay of their reports and of the head's own timer."""
+ORDER_SILENT_S = 12.0
+"""A head that has been silent for this long gets no order until it is heard of
+again."""
 MIN_PACE = 0.01
 """Lower bound of a model's pace; the configuration may contain zero."""
 FORMING_MARGIN_S = 6.0
@@ -91,6 +88,9 @@
         self.confirmations = confirmations_module.Confirmations(
             self.adoption.is_from_this_term
         )
+        self.head_ends = head_ends.HeadEnds(
+            settings.stall_s, fleet, self.confirmations
+        )
         self.evidence: dict[ids.Lifetime, group_module.Evidence] = {}
         self.sent_s: dict[Order, float] = {}
         self.load_planner = weights.LoadPlanner()
@@ -376,7 +376,7 @@
         ):
             self._remove_group(group, "the spare was lost", now_s)
             return []
-        state = self._reported_state(group.head, group)
+        state = self.head_ends.reported_state(group.head, group)
         if state is fleet_module.GroupState.JOINING:
             return []
         if now_s - group.since_s > 2 * model.load_s + FORMING_MARGIN_S:
@@ -401,7 +401,7 @@
         waiting = [
             member
             for member in group.members
-            if self._reported_state(member, group)
+            if self.head_ends.reported_state(member, group)
             is not fleet_module.GroupState.READY
         ]
         if not waiting:
@@ -409,14 +409,14 @@
             return self._step_opening(group, now_s)
         orders: list[Order] = []
         for member in waiting:
-            if self._reported_state(member, group) is None:
+            if self.head_ends.reported_state(member, group) is None:
                 orders.extend(self._throttle(self._join(group, member), now_s))
         return orders
 
     def _step_opening(self, group: Group, now_s: float) -> list[Order]:
         if self._close_if_incomplete(group, now_s):
             return self._step_closing(group, now_s)
-        state = self._reported_state(group.head, group)
+        state = self.head_ends.reported_state(group.head, group)
         if state is fleet_module.GroupState.OPEN:
             self._set_phase(group, Phase.OPEN, now_s)
             return []
@@ -430,7 +430,7 @@
         return self._throttle(order, now_s)
 
     def _step_open(self, group: Group, now_s: float) -> list[Order]:
-        state = self._reported_state(group.head, group)
+        state = self.head_ends.reported_state(group.head, group)
         if state is fleet_module.GroupState.BROKEN:
             self._remove_group(
                 group, "the head reports the group as broken", now_s
@@ -443,17 +443,19 @@
         return []
 
     def _step_closing(self, group: Group, now_s: float) -> list[Order]:
-        head = self.fleet.backends.get(group.head)
-        if self._reported_state(group.head, group) is not None:
-            group.is_head_heard = True
-        self._track_absent_members(group, now_s)
-        if self._has_ended(group, head, now_s):
+        self.head_ends.observe(group, now_s)
+        if self.head_ends.has_ended(group, now_s):
             self._remove_group(group, group.reason, now_s)
             return []
         orders = self._release_members(group, now_s)
-        if head is None or self.evidence_of(group.head).refused:
+        head = self.fleet.backends.get(group.head)
+        evidence = self.evidence_of(group.head)
+        if head is None or evidence.refused:
             return orders
-        state = self._reported_state(group.head, group)
+        heard_s = max(head.announced_s, evidence.reached_s)
+        if now_s - heard_s > ORDER_SILENT_S:
+            return orders
+        state = self.head_ends.reported_state(group.head, group)
         finishing = group.finish_work and state in group_module.SERVING_STATES
         order = Order(
             # After a mere close, a delayed order to open could make the head
@@ -467,29 +469,6 @@
         )
         return orders + self._throttle(order, now_s)
 
-    def _track_absent_members(self, group: Group, now_s: float) -> None:
-        """Record since when at least one member has been out of the group."""
-        absent = [
-            member
-            for member in group.members[1:]
-            if self._has_lifetime_ended(group, member)
-            or (
-                member in self.fleet.backends
-                and self._reported_state(member, group) is None
-            )
-        ]
-        if not absent:
-            group.member_left_s = None
-        elif group.member_left_s is None:
-            group.member_left_s = now_s
-            logs.info(
-                _log,
-                "head_stalls",
-                group=group.name,
-                absent=",".join(absent),
-                closing_s=round(now_s - group.since_s, 3),
-            )
-
     def _release_members(self, group: Group, now_s: float) -> list[Order]:
         """Order the members of an unresponsive head to leave their group.
 
@@ -503,7 +482,7 @@
             backend = self.fleet.backends.get(member)
             if (
                 backend is not None
-                and self._reported_state(member, group) is not None
+                and self.head_ends.reported_state(member, group) is not None
                 and self._is_usable(backend, now_s)
             ):
                 leave = self._leave(group, backend)
@@ -520,50 +499,6 @@
         limit_s = FINISH_WORK_TIMEOUT_S if group.finish_work else RESEND_S
         return now_s - group.since_s >= limit_s
 
-    def _has_ended(
-        self,
-        group: Group,
-        head: fleet_module.Backend | None,
-        now_s: float,
-    ) -> bool:
-        """Return whether the head has stopped serving the group for good."""
-        evidence = self.evidence_of(group.head)
-        if head is not None and self._has_left(head, group):
-            return True
-        if self._has_lifetime_ended(group, group.head):
-            return True
-        if group.member_left_s is not None:
-            stalled_s = now_s - group.member_left_s
-            if stalled_s > self.settings.stall_s + STALL_MARGIN_S:
-                return True
-        last_s = max(
-            evidence.reached_s,
-            head.announced_s if head else float("-inf"),
-            group.since_s if head is None else float("-inf"),
-        )
-        return now_s - last_s > self.settings.stall_s + UNREACHABLE_MARGIN_S
-
-    def _has_left(self, head: fleet_module.Backend, group: Group) -> bool:
-        """Return whether a head says that it no longer serves a group.
-
-        A head without a group, or in an earlier one, may have said so before it
-        joined.
-        """
-        report = head.announcement.group
-        if report is None or report.epoch < group.epoch:
-            return group.is_head_heard or self.confirmations.is_confirmed(
-                head.announcement
-            )
-        return (
-            report.epoch > group.epoch
-            or report.state is fleet_module.GroupState.BROKEN
-        )
-
-    def _has_lifetime_ended(self, group: Group, member: ids.BackendId) -> bool:
-        """Return whether the lifetime that was a group's member has ended."""
-        lifetime = group.lifetimes.get(member)
-        return lifetime is not None and self.fleet.has_ended(lifetime)
-
     def _close_if_incomplete(self, group: Group, now_s: float) -> bool:
         draining = [
             member
@@ -893,16 +828,6 @@
             epoch=group.epoch,
         )
 
-    def _reported_state(
-        self, member: ids.BackendId, group: Group
-    ) -> fleet_module.GroupState | None:
-        """Return the state that a member reports of the group, or None."""
-        backend = self.fleet.backends.get(member)
-        report = backend.announcement.group if backend else None
-        if report is None or report.epoch != group.epoch:
-            return None
-        return report.state
-
     def _find_model(self, name: str) -> catalog_module.Model | None:
         return self.engine.find_model(name) if self.engine else None
 
--- a/tests/direct/test_groups.py
+++ b/tests/direct/test_groups.py
@@ -6,6 +6,7 @@
 from flamingocleat import ids
 from flamingocleat.version import adoption
 from flamingocleat.version import groups
+from flamingocleat.version import head_ends
 from flamingocleat.version import orders
 from tests.direct import vms
 from tests.direct.vms import ENGINE
@@ -63,7 +64,7 @@
     lost_s = simulation.now_s
     while name in simulation.manager.groups:
         simulation.tick()
-    limit_s = STALL_S + groups.STALL_MARGIN_S + 3 * vms.TICK_S
+    limit_s = STALL_S + head_ends.STALL_MARGIN_S + 3 * vms.TICK_S
     assert simulation.now_s - lost_s <= limit_s
     assert simulation.violations == []
 
@@ -293,7 +294,7 @@
     It may only be adopted again once the head announces itself.
     """
     simulation.member("large", 0).alive = False
-    simulation.run(STALL_S + groups.UNREACHABLE_MARGIN_S + 3)
+    simulation.run(STALL_S + 11)
     ended_groups = [
         o.group for o in simulation.orders if o.op is orders.Op.LEAVE
     ]
