Count with orders to open that are carried out late

Cause: the stall time was counted from when a member had left, also if the head had not opened by then. An order without an answer may be carried out seconds later.

Ruled out: the bound on silence, which did not expire; a condition on the head's order count, which no other order had changed.

Change: late_orders knows which orders may still be carried out, and for how long. The countdown begins once the head is known to have opened or can't open any more, and the member can't be brought back. Heads of earlier leaders that are ready, but not all of whose members are, are closed before they are free. Orders that reached no connection were not sent.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -1070,12 +1070,18 @@
     Raises ConnectError if nothing was sent, else BrokenAnswerError or
     TimeoutError.
     """
-    async with asyncio.timeout(timeout_s):
-        client = await Client.open(address, timeout_s)
-        try:
+    client = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            client = await Client.open(address, timeout_s)
             sent = [(b"host", address.encode()), *headers]
             client.send(method.encode(), target.encode(), sent, body)
             answer = await client.answer()
             return answer, await client.read_all(max_body_bytes)
-        finally:
+    except TimeoutError as error:
+        if client is None:
+            raise ConnectError(address, error) from error
+        raise
+    finally:
+        if client is not None:
             client.close()
--- a/src/flamingocleat/connection/platform.py
+++ b/src/flamingocleat/connection/platform.py
@@ -65,6 +65,8 @@
     """The server already has a newer order."""
     UNKNOWN = "unknown"
     """There was no answer; the order may still be executed, even later."""
+    UNSENT = "unsent"
+    """There was no connection, so that it will not be executed."""
 
 
 class Platform(typing.Protocol):
--- a/src/flamingocleat/process/coordinator.py
+++ b/src/flamingocleat/process/coordinator.py
@@ -111,6 +111,7 @@
     platform_module.OrderOutcome.DONE: confirmations.Effect.HOLDS,
     platform_module.OrderOutcome.UNFIT: confirmations.Effect.REFUSED,
     platform_module.OrderOutcome.UNKNOWN: confirmations.Effect.UNKNOWN,
+    platform_module.OrderOutcome.UNSENT: confirmations.Effect.UNSENT,
 }
 
 Orders = list[tuple[groups_module.GroupManager, orders_module.Order]]
@@ -506,14 +507,14 @@
         )
         now_s = time.monotonic()
         if outcome is platform_module.OrderOutcome.FENCED:
-            manager.on_order_refused(order, now_s)
+            manager.on_order_fenced(order, now_s)
         elif ordered is not None:
             manager.on_order_answered(
                 order, ordered.announcement.lifetime, _EFFECTS[outcome], now_s
             )
         backend = self.fleet.backends.get(order.backend)
         if (
-            outcome is platform_module.OrderOutcome.UNKNOWN
+            _EFFECTS.get(outcome) in confirmations.NO_ANSWER
             and order.op is orders_module.Op.JOIN
             and backend is not None
         ):
--- a/src/flamingocleat/version/adoption.py
+++ b/src/flamingocleat/version/adoption.py
@@ -14,6 +14,7 @@
 from flamingocleat.version import catalog as catalog_module
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import group as group_module
+from flamingocleat.version import late_orders
 
 _log = logs.logger("groups")
 
@@ -121,9 +122,13 @@
         ready = sum(
             _is_ready(member) for member in reported.members_by_rank.values()
         )
-        if phase is group_module.Phase.OPENING and (own or ready < model.size):
+        if phase is group_module.Phase.OPENING and own:
             # The group does not serve, so its members are free.
             return None
+        reason = "the group was ended before" if own else ""
+        if phase is group_module.Phase.OPENING and ready < model.size:
+            # The earlier leader may have ordered the head to open the group.
+            phase, reason = group_module.Phase.CLOSING, "a member is not ready"
         found = group_module.Group(
             name=reported.name,
             epoch=reported.epoch,
@@ -133,7 +138,8 @@
             phase=group_module.Phase.CLOSING if own else phase,
             since_s=now_s,
             lifetimes=reported.lifetimes(),
-            reason="the group was ended before" if own else "",
+            reason=reason,
+            former_orders_until_s=now_s + late_orders.MAX_DELAY_S,
         )
         logs.info(
             _log,
@@ -202,6 +208,9 @@
             since_s=now_s,
             lifetimes={head.backend: head, **reported.lifetimes()},
             is_head_heard=announced is not None,
+            # Gateways only know heads that were open.
+            has_opened=reported.name in self.heads,
+            former_orders_until_s=now_s + late_orders.MAX_DELAY_S,
             reason="the head has not announced itself",
         )
         logs.info(
--- a/src/flamingocleat/version/confirmations.py
+++ b/src/flamingocleat/version/confirmations.py
@@ -35,6 +35,11 @@
     REFUSED = "refused"
     """It did not fit the VM's state or its order count."""
     UNKNOWN = "unknown"
+    UNSENT = "unsent"
+    """It did not reach the VM."""
+
+
+NO_ANSWER = (Effect.UNKNOWN, Effect.UNSENT)
 
 
 class Confirmations:
@@ -178,7 +183,7 @@
                 self.orders[lifetime] = None
             elif order.expected_orders is not None:
                 self.invalidate(lifetime, now_s)
-        elif effect is Effect.UNKNOWN or op is orders_module.Op.STAGE:
+        elif effect in NO_ANSWER or op is orders_module.Op.STAGE:
             self.invalidate(lifetime, now_s)
         elif effect is Effect.BEGUN:
             self.orders[lifetime] = known + 1
--- a/src/flamingocleat/version/group.py
+++ b/src/flamingocleat/version/group.py
@@ -61,6 +61,11 @@
     """Why the group is being closed."""
     member_left_s: float | None = None
     """Since when a member is known to have left, which stalls the head."""
+    has_opened: bool = False
+    """Whether the head is known to have opened the group, and has not been
+    ordered to close it. It then stays open until it breaks."""
+    former_orders_until_s: float = float("-inf")
+    """Until when orders of earlier leaders may make the head open the group."""
 
     @property
     def head(self) -> ids.BackendId:
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -250,10 +250,17 @@
             now_s: Current time.
         """
         self.confirmations.on_order_answered(order, lifetime, effect, now_s)
+        self.head_ends.orders.record_answer(order, effect, now_s)
         is_refused = effect is confirmations_module.Effect.REFUSED
         if is_refused and order.expected_orders is not None:
             self.on_order_refused(order, now_s)
 
+    def on_order_fenced(self, order: Order, now_s: float) -> None:
+        """Note that a VM refused an order since it has had a later one."""
+        refused = confirmations_module.Effect.REFUSED
+        self.head_ends.orders.record_answer(order, refused, now_s)
+        self.on_order_refused(order, now_s)
+
     def on_order_refused(self, order: Order, now_s: float) -> None:
         """Abort a formation because a member refused to join."""
         group = self.groups.get(order.group)
@@ -267,6 +274,7 @@
         if sent_s is not None and now_s - sent_s < RESEND_S:
             return []
         self.sent_s[key] = now_s
+        self.head_ends.orders.record_sent(order, now_s)
         return [order]
 
     # Groups of an earlier leader.
@@ -443,8 +451,9 @@
         return []
 
     def _step_closing(self, group: Group, now_s: float) -> list[Order]:
+        assert self.engine is not None
         self.head_ends.observe(group, now_s)
-        if self.head_ends.has_ended(group, now_s):
+        if self.head_ends.has_ended(group, self.engine.form_s, now_s):
             self._remove_group(group, group.reason, now_s)
             return []
         orders = self._release_members(group, now_s)
@@ -867,6 +876,8 @@
             }
         self.load_planner.trim(known)
         self.confirmations.trim(self.fleet.backends)
+        epochs = {group.epoch for group in self.groups.values()}
+        self.head_ends.orders.trim(epochs, now_s)
 
 
 _STEPS: dict[
--- a/src/flamingocleat/version/head_ends.py
+++ b/src/flamingocleat/version/head_ends.py
@@ -2,9 +2,10 @@
 
 Its members may join another group only then. The head may say that it no
 longer serves the group, or a later lifetime may show that it has ended. A head
-that does neither ends by itself: it breaks once it has lacked a member for the
-stall time. Silence alone shows nothing, however long it lasts: a head behind a
-partition serves as long as all members are in its group.
+that does neither ends by itself: it breaks once it has been open and has lacked
+a member for the stall time. That time counts from the latest moment at which
+either may have begun. Silence alone shows nothing, however long it lasts: a
+head behind a partition serves as long as all members are in its group.
 """
 
 from flamingocleat import ids
@@ -12,6 +13,8 @@
 from flamingocleat.version import confirmations as confirmations_module
 from flamingocleat.version import fleet as fleet_module
 from flamingocleat.version import group as group_module
+from flamingocleat.version import late_orders
+from flamingocleat.version import orders as orders_module
 
 _log = logs.logger("groups")
 
@@ -34,16 +37,25 @@
         self.stall_s = stall_s
         self.fleet = fleet
         self.confirmations = confirmations
+        self.orders = late_orders.LateOrders()
 
     def observe(self, group: Group, now_s: float) -> None:
         """Follow a closing group by what its members report."""
         state = self.reported_state(group.head, group)
         if state is not None:
             group.is_head_heard = True
+        if state in group_module.SERVING_STATES:
+            group.has_opened = True
         self._track_absent_members(group, now_s)
 
-    def has_ended(self, group: Group, now_s: float) -> bool:
-        """Return whether the head has stopped serving the group for good."""
+    def has_ended(self, group: Group, form_s: float, now_s: float) -> bool:
+        """Return whether the head has stopped serving the group for good.
+
+        Args:
+            group: The group.
+            form_s: Time that a head takes to open after it accepted the order.
+            now_s: Current time.
+        """
         head = self.fleet.backends.get(group.head)
         if head is not None and self._has_left(head, group):
             return True
@@ -51,9 +63,22 @@
             return True
         if group.member_left_s is None:
             return False
-        stalled_s = now_s - group.member_left_s
+        stalled_s = now_s - max(
+            group.member_left_s, self._open_by_s(group) + form_s
+        )
         return stalled_s > self.stall_s + STALL_MARGIN_S
 
+    def _open_by_s(self, group: Group) -> float:
+        """Return the latest time at which the head may accept to open."""
+        if group.has_opened and not group.finish_work:
+            return late_orders.NEVER_S
+        return max(
+            group.former_orders_until_s,
+            self.orders.latest_s(
+                orders_module.Op.OPEN, group.head, group.epoch
+            ),
+        )
+
     def reported_state(
         self, member: ids.BackendId, group: Group
     ) -> fleet_module.GroupState | None:
@@ -101,6 +126,7 @@
                 "head_stalls",
                 group=group.name,
                 absent=",".join(absent),
+                may_open_s=round(max(0.0, self._open_by_s(group) - now_s), 3),
                 closing_s=round(now_s - group.since_s, 3),
             )
 
@@ -109,6 +135,12 @@
         if self.has_lifetime_ended(group, member):
             return True
         backend = self.fleet.backends.get(member)
-        return (
-            backend is not None and self.reported_state(member, group) is None
+        if backend is None or self.reported_state(member, group) is not None:
+            return False
+        report = backend.announcement.group
+        if report is not None and report.epoch > group.epoch:
+            return True
+        # An order to join that is carried out late brings it back.
+        return backend.announced_s > self.orders.pending_until_s(
+            orders_module.Op.JOIN, member, group.epoch
         )
--- a/tests/direct/vms.py
+++ b/tests/direct/vms.py
@@ -135,8 +135,14 @@
         Until all VMs have announced themselves it adopts groups and gives no
         orders.
         """
+        served = self.manager.serving() if hasattr(self, "manager") else ()
         self.fleet = fleet_module.Fleet()
         self.manager = self.make_manager(term)
+        for group in served:
+            # Gateways name the heads on the former leader's list.
+            head = group.lifetimes.get(group.head)
+            if head is not None:
+                self.manager.adoption.heads[group.name] = head
         self.settled_s = self.now_s + SETTLE_S
 
     def make_manager(self, term: int) -> groups.GroupManager:
