Take no head for an answer that no server may send

Cause: the parsers of h11 and http.client accept more than the protocol defines, and nothing checked the first line after them.

Change: only HTTP/1 with three digits from 100 to 599 is a head. Interim answers are skipped, but for 101. ctl uses the same connections as entries and agents. An unexpected status of an answer to an order says nothing about the order.

--- a/src/flamingocleat/connection/bounded.py
+++ b/src/flamingocleat/connection/bounded.py
@@ -9,6 +9,7 @@
 import contextlib
 import http.client
 import io
+import re
 import socket
 import time
 import typing
@@ -21,6 +22,10 @@
 
 MAX_HEAD_BYTES = 65_536
 """Bytes of an answer up to the end of its head, interim answers included."""
+MAX_INTERIM_ANSWERS = 16
+"""Interim answers (1xx) after which a server counts as faulty."""
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
+"""First line of an answer; no other class of status is defined."""
 _FRAMING_FACTOR = 8
 """Bytes received for each byte of a body in chunks of one byte, rounded up."""
 
@@ -86,23 +91,28 @@
 
 
 class _HeadReader:
-    """Reads the lines of a head; rejects one that is cut.
+    """Reads the lines of a head; rejects what is no head in the protocol.
 
     The standard library takes the end of the connection for the end of the
-    head.
+    head, and any integer from 100 to 999 for a status.
     """
 
     def __init__(self, file: io.BufferedReader) -> None:
         self.file = file
         self.has_begun = False
+        self.expects_status = True
 
     def readline(self, limit: int = -1) -> bytes:
-        """Return the next line; raise CutHeadError."""
+        """Return the next line; raise CutHeadError or BadStatusLine."""
         line = self.file.readline(limit)
         is_whole = line.endswith(b"\n") or len(line) == limit
         if not is_whole and (line or self.has_begun):
             raise CutHeadError("the answer's head is cut")
+        if line and self.expects_status and not _STATUS_LINE.fullmatch(line):
+            raise http.client.BadStatusLine(repr(line))
         self.has_begun = True
+        # An interim answer ends with an empty line, and another head follows.
+        self.expects_status = line in (b"\r\n", b"\n")
         return line
 
     def close(self) -> None:
@@ -111,25 +121,53 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """Answer whose head has to be complete."""
+    """Answer whose head has to be complete, and final."""
 
     def begin(self) -> None:
-        """Read the head; raise CutHeadError."""
+        """Read the head, after interim ones; raise HTTPException."""
         file = self.fp
         self.fp = typing.cast(io.BufferedReader, _HeadReader(file))
         try:
             super().begin()
+            for _ in range(MAX_INTERIM_ANSWERS):
+                if not _is_interim(self.status):
+                    return
+                # The standard library skips no other interim answer than 100.
+                self.headers = self.msg = None  # type: ignore[assignment]
+                super().begin()
+            raise http.client.HTTPException("too many interim answers")
         finally:
             if self.fp is not None:
                 self.fp = file
 
 
+def _is_interim(status: int) -> bool:
+    """Return whether another answer follows; raise BadStatusLine for 101.
+
+    No request asks for another protocol.
+    """
+    if status == http.client.SWITCHING_PROTOCOLS:
+        raise http.client.BadStatusLine(str(status))
+    return status < http.client.OK
+
+
 class Connection(urllib3.connection.HTTPConnection):
-    """Connection that does not take a head that is cut for an answer."""
+    """Connection that takes nothing for an answer that is none."""
 
     response_class = _Response
 
 
+class _StrictPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = Connection
+
+
+def pool_manager() -> urllib3.PoolManager:
+    """Return a manager of such connections that does not retry."""
+    manager = urllib3.PoolManager(retries=False)
+    manager.pool_classes_by_scheme = {"http": _StrictPool}
+    return manager
+
+
 class StaleConnectionError(ConnectionError):
     """A kept connection ended without a byte of the answer to a request.
 
--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -65,6 +65,7 @@
 MAX_OVERHEAD_BYTES = 131_072
 """Bytes of an answer beyond its body, and beyond as many again for the framing
 of chunks, after which the connection is closed."""
+MAX_STATUS = 599
 MAX_INTERIM_ANSWERS = 16
 """Interim answers (1xx) after which a server counts as faulty."""
 _RESET = struct.pack("ii", 1, 0)
@@ -911,6 +912,15 @@
         ]
 
 
+def _check_status(answer: h11.Response) -> None:
+    """Raise BrokenAnswerError for a head that HTTP/1 does not define."""
+    if answer.status_code > MAX_STATUS or answer.http_version[:2] != b"1.":
+        version = answer.http_version.decode("ascii")
+        raise BrokenAnswerError(
+            f"no answer but status {answer.status_code} of HTTP/{version}"
+        )
+
+
 class Client:
     """One request to one server on a new connection.
 
@@ -980,6 +990,7 @@
         for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                _check_status(event)
                 return Answer(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError(f"no answer but {event!r}")
--- a/src/flamingocleat/process/ctl.py
+++ b/src/flamingocleat/process/ctl.py
@@ -14,6 +14,7 @@
 import urllib3
 
 from flamingocleat import errors
+from flamingocleat.connection import bounded
 from flamingocleat.process import api_documents
 from flamingocleat.process import settings as settings_module
 from flamingocleat.request import explanation as explanation_module
@@ -63,7 +64,7 @@
     def __init__(self, settings: settings_module.CtlSettings, key: str) -> None:
         self.settings = settings
         self.key = key
-        self.http = urllib3.PoolManager(retries=False)
+        self.http = bounded.pool_manager()
 
     def request(
         self,
@@ -317,8 +318,8 @@
     }
     url = f"http://{arguments.gateway}{explanation_module.PATH}"
     try:
-        reply = urllib3.request(
-            "GET", url, fields=fields, timeout=EXPLAIN_TIMEOUT_S, retries=False
+        reply = bounded.pool_manager().request(
+            "GET", url, fields=fields, timeout=EXPLAIN_TIMEOUT_S
         )
     except urllib3.exceptions.HTTPError as error:
         raise errors.UnavailableError(
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -316,6 +316,10 @@
         (409, platform.OrderOutcome.UNFIT),
         (412, platform.OrderOutcome.FENCED),
         (421, platform.OrderOutcome.UNFIT),
+        (400, platform.OrderOutcome.UNFIT),
+        ("000", platform.OrderOutcome.UNKNOWN),
+        (500, platform.OrderOutcome.UNKNOWN),
+        (700, platform.OrderOutcome.UNKNOWN),
         (None, platform.OrderOutcome.UNKNOWN),
     ],
 )
