Decide on the voters as they are when they change

Cause: two voters that stop within moments asked the leader to leave; the second one was turned away while the first change was under way, and stayed a voter until its silence was noticed. A change that waited to be proposed could also have been decided on voters of before.

Change: each change waits until the last one is complete, and is decided then. The stand-in of test_contact_is_that_of_a_quorum has the quorum that the leader asks for by now; its three cases are as they were.

--- a/src/flamingocleat/process/consensus.py
+++ b/src/flamingocleat/process/consensus.py
@@ -327,6 +327,15 @@
             term,
         )
 
+    async def wait_for_settled_voters(self) -> None:
+        """Wait until the voters may be changed, as seen by the next step.
+
+        Raises:
+            NotLeaderError: This voter does not lead, or stopped leading.
+        """
+        self._check_leader()
+        await self._wait_leading(self._may_change_voters, self.term)
+
     def _check_leader(self) -> None:
         if self.role is not Role.LEADER:
             raise errors.NotLeaderError(self.leader_address)
--- a/src/flamingocleat/process/voters.py
+++ b/src/flamingocleat/process/voters.py
@@ -178,69 +178,68 @@
         await stream.send_message(reply(accepted))
 
     async def _add_voter(self, request: messages.JoinRequest) -> bool:
-        self._check_leader()
-        voters = dict(self.consensus.membership.voters)
-        if voters.get(request.voter) == request.address:
-            return True
-        if self.consensus.membership.is_joint:
-            return False
-        new_voters = voter_set.with_voter(
-            voters,
-            request.voter,
-            request.address,
-            self._silent_voters(),
-            self._needed_voters(),
-        )
-        logs.info(
-            _log,
-            "voter_added",
-            voter=request.voter,
-            address=request.address,
-            dropped=",".join(sorted(set(voters) - set(new_voters))),
-        )
-        await self.consensus.propose(declared.ChangeVoters(new_voters))
+        def add(voters: voter_set.Addresses) -> voter_set.Addresses:
+            if voters.get(request.voter) == request.address:
+                return voters
+            return voter_set.with_voter(
+                voters,
+                request.voter,
+                request.address,
+                self._silent_voters(),
+                self._needed_voters(),
+            )
+
+        await self._change("voter_added", add)
         return True
 
     async def _remove_voter(self, request: messages.LeaveRequest) -> bool:
-        self._check_leader()
-        return await self._drop_voters(
-            "voter_left", [request.voter, *self._silent_voters()]
-        )
+        def remove(voters: voter_set.Addresses) -> voter_set.Addresses:
+            absent = [request.voter, *self._silent_voters()]
+            return voter_set.without_surplus(
+                voters, absent, self._needed_voters()
+            )
+
+        return await self._change("voter_left", remove)
 
     async def _drop_silent_voters(self) -> None:
-        try:
-            await self._drop_voters(
-                "silent_voter_dropped", self._silent_voters()
+        def drop(voters: voter_set.Addresses) -> voter_set.Addresses:
+            return voter_set.without_surplus(
+                voters, self._silent_voters(), self._needed_voters()
             )
+
+        try:
+            await self._change("silent_voter_dropped", drop)
         except errors.FlamingocleatError as error:
             logs.warning(_log, "voter_drop_failed", reason=str(error))
 
-    async def _drop_voters(
-        self, event: str, absent: collections.abc.Sequence[ids.VoterId]
+    async def _change(
+        self,
+        event: str,
+        change: collections.abc.Callable[
+            [voter_set.Addresses], voter_set.Addresses
+        ],
     ) -> bool:
-        """Drop absent voters that are not needed; return whether one was."""
-        if self.consensus.membership.is_joint:
-            return False
+        """Change the voters as decided on those of that moment.
+
+        Returns:
+            Whether that changes them.
+        """
+        await self.consensus.wait_for_settled_voters()
         voters = dict(self.consensus.membership.voters)
-        new_voters = voter_set.without_surplus(
-            voters, absent, self._needed_voters()
-        )
+        new_voters = change(voters)
         if new_voters == voters:
             return False
         logs.info(
             _log,
             event,
-            voter=",".join(sorted(set(voters) - set(new_voters))),
+            added=",".join(sorted(set(new_voters) - set(voters))),
+            dropped=",".join(sorted(set(voters) - set(new_voters))),
             left=len(new_voters),
             needed=self._needed_voters(),
         )
         await self.consensus.propose(declared.ChangeVoters(new_voters))
         return True
 
-    def _check_leader(self) -> None:
-        if self.consensus.role is not consensus_module.Role.LEADER:
-            raise errors.NotLeaderError(self.consensus.leader_address)
-
     def _needed_voters(self) -> int:
         return voter_set.needed(self.settings.tolerated_losses)
 
--- a/tests/direct/test_cold.py
+++ b/tests/direct/test_cold.py
@@ -281,11 +281,10 @@
 )
 def test_contact_is_that_of_a_quorum(answered_s, contact_s):
     """A minority's answers do not rule out another leader."""
-    voters = {f"v{n}": f"a{n}" for n in range(5)}
+    voters = membership.Membership({f"v{n}": f"a{n}" for n in range(5)})
     consensus = types.SimpleNamespace(
-        voter="v0",
         peers={f"v{n + 1}": Follower(s) for n, s in enumerate(answered_s)},
-        membership=membership.Membership(voters),
+        has_quorum=lambda others: voters.has_quorum(others | {"v0"}),
         subscribe=lambda _callback: None,
     )
 
