Close incomplete groups of a former leader only after a while

Cause: a ready head whose members a new leader had not heard yet led to the end of its group at once, since an order of the former leader may still open it.

Change: such a group is bound until its members have had 4 s to be heard. It opens if they are ready by then, and is closed if not; so is a group whose model is not configured any more, which a new leader left alone before.

--- a/src/flamingocleat/version/adoption.py
+++ b/src/flamingocleat/version/adoption.py
@@ -70,13 +70,19 @@
         """Return the lifetimes of the members that announced themselves."""
         return lifetimes_of(self.members_by_rank.values())
 
-    def members(self, model: catalog_module.Model) -> tuple[ids.BackendId, ...]:
-        """Return all members, with a placeholder for unknown ones."""
+    def members(
+        self, model: catalog_module.Model | None
+    ) -> tuple[ids.BackendId, ...]:
+        """Return all members, with a placeholder for unknown ones.
+
+        Without a model, its size is not known.
+        """
+        size = model.size if model else max(self.members_by_rank) + 1
         return tuple(
             self.members_by_rank[rank].announcement.backend
             if rank in self.members_by_rank
             else group_module.UNKNOWN_MEMBER
-            for rank in range(model.size)
+            for rank in range(size)
         )
 
 
@@ -87,8 +93,9 @@
         self.term = term
         self.ended_s: dict[str, float] = {}
         """When this leader ended a group, by the name of the group."""
-        self.orphaned_since_s: dict[str, float] = {}
-        """When a group was first seen without its head, by its name."""
+        self.incomplete_since_s: dict[str, float] = {}
+        """When a group was first seen without its head, or without all members
+        ready, by its name."""
         self.heads: dict[str, ids.Lifetime] = {}
         """Heads that gateways have reported, by the name of the group."""
 
@@ -107,9 +114,7 @@
         assert head.announcement.group is not None
         phase = _PHASE_BY_HEAD_STATE.get(head.announcement.group.state)
         model = reported.model(engine)
-        if phase is None or model is None:
-            return None
-        if reported.name.endswith(SPARE_SUFFIX):
+        if phase is None or reported.name.endswith(SPARE_SUFFIX):
             return None
         if head.announced_s <= self.ended_s.get(reported.name, float("-inf")):
             # This leader ended the group, and the head has not announced
@@ -122,20 +127,26 @@
         ready = sum(
             _is_ready(member) for member in reported.members_by_rank.values()
         )
-        if phase is group_module.Phase.OPENING and own:
-            # The group does not serve, so its members are free.
+        reason = ""
+        if model is None:
+            reason = "its model is not configured"
+        elif phase is group_module.Phase.OPENING and ready < model.size:
+            reason = "a member is not ready"
+        if own:
+            if model is None or phase is group_module.Phase.OPENING:
+                # The group does not serve, so its members are free.
+                return None
+            reason = "the group was ended before"
+        elif reason and not self.has_waited(reported, now_s):
             return None
-        reason = "the group was ended before" if own else ""
-        if phase is group_module.Phase.OPENING and ready < model.size:
-            # The earlier leader may have ordered the head to open the group.
-            phase, reason = group_module.Phase.CLOSING, "a member is not ready"
         found = group_module.Group(
             name=reported.name,
             epoch=reported.epoch,
-            model=model.name,
+            model=head.announcement.model,
             members=reported.members(model),
             head_address=head.announcement.address,
-            phase=group_module.Phase.CLOSING if own else phase,
+            # The earlier leader may have ordered an incomplete group to open.
+            phase=group_module.Phase.CLOSING if reason else phase,
             since_s=now_s,
             lifetimes=reported.lifetimes(),
             reason=reason,
@@ -173,10 +184,12 @@
             reported.epoch
         ):
             return False
-        return (
-            now_s - self.orphaned_since_s.setdefault(reported.name, now_s)
-            >= ADOPT_TIMEOUT_S
-        )
+        return self.has_waited(reported, now_s)
+
+    def has_waited(self, reported: ReportedGroup, now_s: float) -> bool:
+        """Return whether missing members have had time to be heard."""
+        since_s = self.incomplete_since_s.setdefault(reported.name, now_s)
+        return now_s - since_s >= ADOPT_TIMEOUT_S
 
     def close_orphans(
         self,
@@ -219,7 +232,7 @@
             group=found.name,
             head=head.backend,
             members=",".join(found.members),
-            waited_s=round(now_s - self.orphaned_since_s[reported.name], 3),
+            waited_s=round(now_s - self.incomplete_since_s[reported.name], 3),
         )
         return found
 
@@ -235,15 +248,15 @@
             for name, ended_s in self.ended_s.items()
             if name in reported or now_s - ended_s < ENDED_RETENTION_S
         }
-        self.orphaned_since_s = {
+        self.incomplete_since_s = {
             name: since_s
-            for name, since_s in self.orphaned_since_s.items()
+            for name, since_s in self.incomplete_since_s.items()
             if name in reported
         }
         self.heads = {
             name: head
             for name, head in self.heads.items()
-            if name in self.orphaned_since_s
+            if name in self.incomplete_since_s
         }
 
 
--- a/src/flamingocleat/version/service_survey.py
+++ b/src/flamingocleat/version/service_survey.py
@@ -233,6 +233,15 @@
     report = backend.announcement.group
     if report is None or report.name in adoption.ended_s:
         return False
+    is_former = not adoption.is_from_this_term(report.epoch)
     if states := heads.get(report.epoch):
-        return any(state in group_module.SERVING_STATES for state in states)
-    return not adoption.is_from_this_term(report.epoch)
+        # An order of an earlier leader may still open a head that is ready.
+        may_open = is_former and not report.name.endswith(
+            adoption_module.SPARE_SUFFIX
+        )
+        return any(
+            state in group_module.SERVING_STATES
+            or (may_open and state is fleet_module.GroupState.READY)
+            for state in states
+        )
+    return is_former
--- a/tests/direct/test_head_ends.py
+++ b/tests/direct/test_head_ends.py
@@ -1,5 +1,6 @@
 """When the head of a closing group has certainly ended."""
 
+import msgspec
 import pytest
 
 from flamingocleat import ids
@@ -125,6 +126,50 @@
     assert member.alive
 
 
+def test_ready_group_of_a_former_leader_opens(simulation):
+    """Members that announce themselves late must not end its formation."""
+    group, _ = _start_group(simulation)
+    head, member = (simulation.vms[each] for each in group.members)
+    simulation.start_term(3)
+    simulation.manager.has_traffic = True
+    simulation.muted_vm = member.backend
+    simulation.announce(head)
+    simulation.run(3)
+    simulation.muted_vm = ""
+    simulation.run(3)
+    assert head.state is STATE.OPEN
+    assert simulation.manager.groups[group.name].phase is groups.Phase.OPEN
+    assert simulation.violations == []
+
+
+def test_incomplete_group_of_a_former_leader_is_closed(simulation):
+    """Its VMs must be free again although its head is ready."""
+    group, _ = _start_group(simulation)
+    head, member = (simulation.vms[each] for each in group.members)
+    simulation.start_term(3)
+    simulation.manager.has_traffic = True
+    member.alive = False
+    simulation.run(10)
+    assert group.name not in simulation.manager.groups
+    assert head.group is None or head.group[0] != group.name
+    assert simulation.violations == []
+
+
+def test_group_of_a_model_that_is_gone_is_closed(simulation):
+    """A new leader must free VMs whose model is not configured any more."""
+    engine = simulation.manager.engine
+    head = simulation.member("small", 0)
+    name = head.group[0]
+    simulation.start_term(3)
+    simulation.manager.engine = msgspec.structs.replace(
+        engine, models=(vms.LARGE,)
+    )
+    simulation.run(10)
+    assert head.group is None or head.group[0] != name
+    assert name not in simulation.manager.groups
+    assert simulation.violations == []
+
+
 # A member that had left came back into the group by a late order to join.
 def test_member_that_joins_again_late_does_not_end_the_head(simulation):
     group, opening = _start_group(simulation)
