Free the idle members of ended groups at the next leader

Cause: VMs that no group used after the end of theirs kept reporting it.

Change: an idle VM whose group has ended joins a group of its own for the model that it holds, as those that had left theirs did. No load follows, and the next leader finds it free.

Measured: test_members_of_an_ended_group_are_free_at_the_next_leader fails without the change.

--- a/src/flamingocleat/version/adoption.py
+++ b/src/flamingocleat/version/adoption.py
@@ -260,6 +260,16 @@
         }
 
 
+def is_spare(backend: fleet_module.Backend) -> bool:
+    """Return whether a VM reports a model in a group of its own."""
+    announcement = backend.announcement
+    return (
+        bool(announcement.model)
+        and announcement.group is not None
+        and announcement.group.name.endswith(SPARE_SUFFIX)
+    )
+
+
 def fill_in_members(group: group_module.Group, ranks: MembersByRank) -> None:
     """Replace placeholders in an adopted group by members now known."""
     group.members = tuple(
--- a/src/flamingocleat/version/groups.py
+++ b/src/flamingocleat/version/groups.py
@@ -715,13 +715,14 @@
         """Make spares load their staged weights into their engines.
 
         Their memory then has room for another model's weights, and they can
-        join a group of the first model without a delay. A VM that has left its
-        group joins one of its own for the model that its engine still holds.
+        join a group of the first model without a delay. A VM whose group has
+        ended joins one of its own for the model that its engine still holds: a
+        new leader would not know that the former head has ended.
         """
         orders: list[Order] = []
         for backend in list(survey.idle):
             model = self._find_model(formation.primary_model(backend))
-            if model is not None and not backend.announcement.model:
+            if model is not None and not adoption_module.is_spare(backend):
                 warming = self._begin(
                     survey, model, [backend], Phase.WARMING, now_s
                 )
--- a/tests/direct/test_head_ends.py
+++ b/tests/direct/test_head_ends.py
@@ -170,6 +170,35 @@
     assert simulation.violations == []
 
 
+# Idle members of a group that had ended waited for its head at each new leader.
+def test_members_of_an_ended_group_are_free_at_the_next_leader(simulation):
+    head = simulation.member("large", 0)
+    name = head.group[0]
+    left = {each for each in head.members[:-1]}
+    for vm in simulation.vms.values():
+        # There is no spare to replace the lost member.
+        vm.alive = not vm.serves_no_group()
+    simulation.run(8)
+    simulation.vms[head.members[-1]].alive = False
+    while name in simulation.manager.groups:
+        # The head leaves before its members are ordered to.
+        simulation.delayed_orders = [
+            each
+            for each in simulation.delayed_orders
+            if each[1].op is not orders.Op.LEAVE
+            or each[1].backend == head.backend
+        ]
+        simulation.tick()
+    simulation.run(1)
+    engine = simulation.manager.engine
+    simulation.start_term(3)
+    simulation.manager.engine = engine
+    simulation.run(vms.SETTLE_S + 1)
+    survey = simulation.manager.survey(simulation.now_s)
+    assert {each.announcement.backend for each in survey.idle} == left
+    assert simulation.violations == []
+
+
 # A member that had left came back into the group by a late order to join.
 def test_member_that_joins_again_late_does_not_end_the_head(simulation):
     group, opening = _start_group(simulation)
