--- a/tests/platform/emulator.py
+++ b/tests/platform/emulator.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import json
+import os
 import random
 import socket
 import struct
@@ -16,6 +18,7 @@
 import typing
 
 from flamingocleat.connection import http
+from flamingocleat.version import catalog
 from tests.platform import answer_watch
 
 HEARTBEAT_INTERVAL_S = 0.4
@@ -42,6 +45,10 @@
 """How long a lethal request waits at most before it begins to run."""
 DATA_CENTRES = ("z0", "z1")
 """The domains d0 and d1 are in these."""
+MAX_HEAD_BYTES = 1_048_576
+"""Size of the largest head that a server accepts."""
+QUEUE_FILLERS = 4
+"""Connections that fill a queue for one connection."""
 ACCEPT_S = 0.1
 """Time for which connections may still be in the course of being accepted."""
 COLD_S = 3.0
@@ -138,6 +145,10 @@
         self.restarts: set[asyncio.Task] = set()
         self.lethal_requests: dict[bytes, Lethal] = {}
         """Lethal requests by their bodies."""
+        self.leaves_unanswered: (
+            collections.abc.Callable[[Server, dict], bool] | None
+        ) = None
+        """Decides which orders a server neither answers nor carries out."""
 
     def restart_later(self, server: "Server", delay_s: float) -> None:
         """Start a server that crashed again after a while."""
@@ -240,7 +251,10 @@
 
     async def start(self) -> None:
         """Begin to listen and to announce itself."""
-        self.http = http.Server(self._answer)
+        self.http = http.Server(
+            self._answer,
+            lambda: catalog.Limits(max_header_bytes=MAX_HEAD_BYTES),
+        )
         await self.http.start(self.address)
         if self.proxy is not None:
             await self.proxy.start()
@@ -394,7 +408,12 @@
 
     async def _answer(self, exchange: http.Exchange) -> None:
         if exchange.target == b"/api/order":
-            status = self._apply_order(json.loads(exchange.body))
+            order = json.loads(exchange.body)
+            is_left = self.fleet.leaves_unanswered
+            if is_left is not None and is_left(self, order):
+                exchange.connection.abort()
+                return
+            status = self.apply_order(order)
             await exchange.respond(status, [], b"")
             self.spawn(self.announce())
         elif exchange.target == b"/api/report":
@@ -448,7 +467,7 @@
             "state": self.state,
         }
 
-    def _apply_order(self, order: dict) -> int:
+    def apply_order(self, order: dict) -> int:
         op = order["op"]
         if order.get("precondition", self.orders) != self.orders:
             return 409
@@ -746,6 +765,8 @@
         self.dropped_directions: set[str] = set()
         """Directions, "up" or "down", in which bytes are lost."""
         self.writers: set[asyncio.StreamWriter] = set()
+        self.fillers: list[socket.socket] = []
+        """Connections that fill the queue while it is blocked."""
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -762,6 +783,30 @@
             reset_when_closed(writer.transport)
             writer.transport.abort()
 
+    def block(self) -> None:
+        """Reset all connections and let new ones hang, as a partition does."""
+        self.reset()
+        if not self.server.is_serving():
+            return
+        for listening in self.server.sockets:
+            asyncio.get_running_loop().remove_reader(listening.fileno())
+            with socket.socket(fileno=os.dup(listening.fileno())) as own:
+                own.listen(0)
+            for _ in range(QUEUE_FILLERS):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(listening.getsockname())
+                self.fillers.append(filler)
+
+    async def unblock(self) -> None:
+        """Accept connections again, unless the server is down."""
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        if self.server.is_serving():
+            self.server.close()
+            await self.start()
+
     def restore(self) -> None:
         """End delays and losses; connections that lost bytes are aborted."""
         if self.dropped_directions:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -32,6 +32,7 @@
 from tests.platform import faults as faults_module
 from tests.platform import lethal_faults
 from tests.platform import limit_faults  # noqa: F401 (registers faults)
+from tests.platform import membership_faults  # noqa: F401 (registers faults)
 from tests.platform import power_faults  # noqa: F401 (registers faults)
 from tests.platform import stop_faults  # noqa: F401 (registers faults)
 
@@ -155,6 +156,8 @@
         self.signals: list[tuple[float, signal.Signals]] = []
         """Signals that it got, with their times."""
         self.is_paused = False
+        self.is_removed = False
+        """Whether its machine is gone for good."""
         self.restart_lock = asyncio.Lock()
         """Held from the end of a process until its replacement is started."""
 
@@ -163,6 +166,8 @@
 
     async def start(self) -> None:
         """Start the process with the current settings."""
+        if self.is_removed:
+            return
         listen = {
             "control": self.address(CONTROL_PORT),
             "front": self.address(FRONT_PORT),
@@ -181,6 +186,9 @@
             "dataDir": str(data),
             "heartbeatMs": emulator.HEARTBEAT_INTERVAL_S * 1000,
             "zones": dict.fromkeys(emulator.DATA_CENTRES, "r"),
+            "faultTolerance": {
+                "machines": (len(self.soak.coordinators) - 1) // 2
+            },
             "bounds": {
                 "stallMs": emulator.STALL_S * 1000,
                 "graceS": 8,
@@ -433,10 +441,16 @@
         self.idle_routes = 0
         """Routes of the configuration that nobody calls."""
         self.is_evacuating = False
+        self.is_parting = False
+        """Whether the members of a group are cut off."""
         self.calls: dict[str, answer_watch.Call] = {}
         """Calls to gateways, by their ids."""
         self.answer_watch = answer_watch.AnswerWatch(self)
         self.config_watch = config_watch.ConfigWatch(self)
+        self.limits: dict[str, int] = {}
+        """Limits on callers' requests in the configuration."""
+        self.large_heads = 0
+        """Requests with large heads that were answered."""
         self.limits_checked = 0
         """Named limits whose arrivals were checked."""
         self.served = 0
@@ -771,7 +785,7 @@
                 {"name": "llm", "engine": self._engine(), **cold_rate},
                 {"name": "desk"},
             ],
-            "limits": {},
+            "limits": self.limits,
         }
 
     def _engine(self) -> dict:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -10,6 +10,7 @@
 from tests.platform import faults as faults_module
 from tests.platform import lethal_faults
 from tests.platform import limit_faults
+from tests.platform import membership_faults
 from tests.platform import power_faults
 from tests.platform import soak
 from tests.platform import stop_faults
@@ -37,6 +38,7 @@
     *connection_faults.NEW_FAULTS,
     *control_faults.NEW_FAULTS,
     *limit_faults.NEW_FAULTS,
+    *membership_faults.NEW_FAULTS,
     *power_faults.NEW_FAULTS,
     *lethal_faults.NEW_FAULTS,
     *stop_faults.NEW_FAULTS,
@@ -67,6 +69,13 @@
     9101: "streams of silent servers were cut that could not be retried, and "
     "callers in the queue of a starting gateway reset",
 }
+SEEDS_OF_MEMBERSHIP_FAULTS = {
+    "replace_coordinators": 5101,
+    "part_groups": 9,
+    "open_late": 7,
+    "raise_limits": 5001,
+}
+"""Each was broken by the programs of before the fix of what its fault plays."""
 DURATION_S = 8.0
 NEEDED_FAULTS = [
     *(
@@ -176,3 +185,17 @@
         for gateway in result.gateways
         for _, number in gateway.signals
     )
+
+
+@pytest.mark.parametrize("fault", sorted(SEEDS_OF_MEMBERSHIP_FAULTS))
+def test_seldom_orders_of_events_violate_no_guarantee(tmp_path, fault):
+    """Replacements beside lost disks, partitions that end in turn, late orders.
+
+    Limits are raised while callers keep their connections.
+    """
+    seed = SEEDS_OF_MEMBERSHIP_FAULTS[fault]
+    faults = {fault: soak.FAULTS[fault]}
+    result = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path, faults))
+    check(result)
+    if fault == "raise_limits":
+        assert result.large_heads > 0
