Count each absent voter once; create one parser a connection

Cause: a voter that stops and was silent before was counted twice among those to drop, so that one voter more than needed could be kept. A connection's first head replaced the parser that the connection began with.

Change: duplicates are left out; the first parser has the limit in force as the connection is opened. Later changes are followed as before.

Measured: one new case of test_absent_voters fails without the change; tests of limits and the intake pass.

--- a/src/flamingocleat/connection/http.py
+++ b/src/flamingocleat/connection/http.py
@@ -189,9 +189,11 @@
     def __init__(self, server: "Server") -> None:
         self.server = server
         self.intake = server.intake
-        self.http = h11.Connection(h11.SERVER)
-        self.head_bytes = 0
+        self.head_bytes = server.limits().max_header_bytes
         """Limit on heads that the parser was created with."""
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.head_bytes
+        )
         self.data_arrived = asyncio.Event()
         self.admitted = asyncio.Event()
         self.write_resumed = asyncio.Event()
--- a/src/flamingocleat/process/voter_set.py
+++ b/src/flamingocleat/process/voter_set.py
@@ -55,7 +55,7 @@
         absent: Voters that stop or are silent, those to drop first first.
         needed_voters: How many voters are kept at least.
     """
-    present = [voter for voter in absent if voter in voters]
+    present = [voter for voter in dict.fromkeys(absent) if voter in voters]
     dropped = present[: max(0, len(voters) - needed_voters)]
     return {
         voter: address
--- a/tests/direct/test_voter_set.py
+++ b/tests/direct/test_voter_set.py
@@ -50,6 +50,7 @@
         ("abcde", "ab", 1, "cde"),
         ("abcdefg", "ab", 2, "cdefg"),
         ("abcdefg", "abc", 2, "cdefg"),
+        ("abcde", "bab", 1, "cde"),
     ],
 )
 def test_absent_voters_are_dropped_down_to_the_needed_number(
