--- a/tests/direct/test_explanation.py
+++ b/tests/direct/test_explanation.py
@@ -140,11 +140,12 @@
 
     asked = []
 
-    def request(method, url, **options):
-        asked.append((method, url, options["fields"]))
-        return Reply
+    class Manager:
+        def request(self, method, url, **options):
+            asked.append((method, url, options["fields"]))
+            return Reply
 
-    monkeypatch.setattr(ctl.urllib3, "request", request)
+    monkeypatch.setattr(ctl.bounded, "pool_manager", Manager)
     arguments = ["explain", "--gateway", "127.0.0.1:9464"]
     assert ctl.main([*arguments, "--host", "h", "--path", "/p/x"]) == 0
     assert asked == [
