--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -186,9 +186,7 @@
             "dataDir": str(data),
             "heartbeatMs": emulator.HEARTBEAT_INTERVAL_S * 1000,
             "zones": dict.fromkeys(emulator.DATA_CENTRES, "r"),
-            "faultTolerance": {
-                "machines": (len(self.soak.coordinators) - 1) // 2
-            },
+            "faultTolerance": {"machines": (len(self.soak.control) - 1) // 2},
             "bounds": {
                 "stallMs": emulator.STALL_S * 1000,
                 "graceS": 8,
