Let a stopping voter stay beside one that does not answer

Cause: a voter that stopped left whenever more voters were left than needed.

Change: a voter leaves only if all others have answered a request that was sent after it asked to. Otherwise it stays, and its data counts after its restart.

Measured: test_stopping_voter_stays_beside_one_that_does_not_answer and test_leader_stops_just_after_a_disk_was_lost failed before and pass.

--- a/src/flamingocleat/process/voters.py
+++ b/src/flamingocleat/process/voters.py
@@ -39,6 +39,9 @@
 JOIN_TIMEOUT_S = 1.0
 LEAVE_TIMEOUT_S = 0.5
 """Time for which a stop waits until this voter has left."""
+LEAVE_CHECK_S = 0.35
+"""Time of it for which all others may take to answer a heartbeat."""
+LEAVE_POLL_S = 0.02
 FIRST_TERM = 1
 """Term of the first snapshot; nobody votes in it."""
 
@@ -193,10 +196,25 @@
         return True
 
     async def _remove_voter(self, request: messages.LeaveRequest) -> bool:
+        since_s = self.clock()
+
+        def all_others_answer() -> bool:
+            voters = self.consensus.membership.voters
+            others = voters.keys() - {request.voter, self.consensus.voter}
+            return others <= self._heard_voters(since_s)
+
+        # A voter that ran until now must not go in place of one that is gone,
+        # whose silence may be too short to tell.
+        while not all_others_answer():
+            if self.clock() - since_s > LEAVE_CHECK_S:
+                return False
+            await asyncio.sleep(LEAVE_POLL_S)
+
         def remove(voters: voter_set.Addresses) -> voter_set.Addresses:
-            absent = [request.voter, *self._silent_voters()]
+            if not all_others_answer():
+                return voters
             return voter_set.without_surplus(
-                voters, absent, self._needed_voters()
+                voters, [request.voter], self._needed_voters()
             )
 
         return await self._change("voter_left", remove)
@@ -243,6 +261,12 @@
     def _needed_voters(self) -> int:
         return voter_set.needed(self.settings.tolerated_losses)
 
+    def _heard_voters(self, since_s: float) -> set[ids.VoterId]:
+        """Return the other voters that have answered a request since then."""
+        peers = self.consensus.peers
+        heard = {v for v, peer in peers.items() if peer.answered_s >= since_s}
+        return heard - self.consensus.lost_voters
+
     def _silent_voters(self) -> list[ids.VoterId]:
         return voter_set.silent_voters(
             {v: peer.contact_s for v, peer in self.consensus.peers.items()},
--- a/tests/direct/test_voters.py
+++ b/tests/direct/test_voters.py
@@ -287,6 +287,45 @@
     coordinators.run_scenario(tmp_path, scenario)
 
 
+# The last but one voter that ran left, and a lost one stayed.
+@pytest.mark.parametrize("stops_leader", [True, False])
+def test_stopping_voter_stays_beside_one_that_does_not_answer(
+    tmp_path, stops_leader
+):
+    async def scenario(cluster):
+        await cluster.put(1)
+        await cluster.start(4, bootstrap=False)
+        await cluster.wait_for_voters({1, 2, 3, 4})
+        leader = await cluster.leader_number()
+        others = [n for n in cluster.running if n != leader]
+        await cluster.kill(others[0])
+        stopping = cluster.running[leader if stops_leader else others[1]]
+        await stopping.voters.leave()
+        membership = cluster.running[leader].consensus.membership
+        assert len(membership.voters) == 4
+
+    coordinators.run_scenario(tmp_path, scenario)
+
+
+def test_leader_stops_just_after_a_disk_was_lost(tmp_path):
+    """Two of four voters are gone, and the leader of the others restarts."""
+
+    async def scenario(cluster):
+        await cluster.put(7)
+        await cluster.start(4, bootstrap=False)
+        await cluster.wait_for_voters({1, 2, 3, 4})
+        leader = await cluster.leader_number()
+        removed, lost = [n for n in (1, 2, 3) if n != leader][:2]
+        await cluster.kill(removed)
+        await cluster.lose_disk(lost)
+        leader = await cluster.leader_number()
+        await cluster.stop(leader)
+        await cluster.start(leader, bootstrap=False)
+        assert await cluster.get() == 7
+
+    coordinators.run_scenario(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("pause_s", [0.0, 1.0])
 def test_restarted_voters_stay_voters(tmp_path, pause_s):
     """A planned restart must not cost a voter, whose disk may be needed."""
